Add the shared model and the interfaces between modules

Cause: modules are built in parallel and meet at these types. Change: ids, layer ranges, the closed list of error kinds, settings types with inheritance, and the interfaces of routing, platform, cluster and backend.

--- /dev/null
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/OrderAction.kt
@@ -0,0 +1,9 @@
+package org.bramleytrestle.backend
+
+/** What an engine can be ordered to do. */
+public enum class OrderAction(public val wireName: String) {
+    LOAD_MODEL("loadModel"),
+    LOAD_ADAPTER("loadAdapter"),
+    SWITCH_VERSION("switchVersion"),
+    CHANGE_ROLE("changeRole")
+}
--- /dev/null
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/LimitGrant.kt
@@ -0,0 +1,12 @@
+package org.bramleytrestle.cluster
+
+import kotlinx.serialization.Serializable
+import org.bramleytrestle.model.OrganisationId
+
+/** Share of an organisation's limit that a node may use for [validMillis] from its arrival. */
+@Serializable
+public data class LimitGrant(
+    val organisation: OrganisationId,
+    val tokensPerSecond: Double,
+    val validMillis: Long
+)
--- /dev/null
+++ b/model/src/main/kotlin/org/bramleytrestle/model/ErrorKind.kt
@@ -0,0 +1,47 @@
+package org.bramleytrestle.model
+
+/**
+ * Every kind of error that a caller or operator can get, with its answer. The list is closed so
+ * that each answer states its status and whether the request was run in one place.
+ *
+ * @property wireName value of `kind` in the problem document.
+ * @property status HTTP status code.
+ */
+public enum class ErrorKind(
+    public val wireName: String,
+    public val status: Int,
+    public val executed: Executed,
+    public val retryable: Boolean,
+    public val title: String
+) {
+    BAD_REQUEST("badRequest", 400, Executed.NO, false, "The request is malformed"),
+    UNAUTHENTICATED("unauthenticated", 401, Executed.NO, false, "A valid token is required"),
+    MODEL_NOT_ALLOWED("modelNotAllowed", 403, Executed.NO, false, "The model may not be used"),
+    NOT_FOUND("notFound", 404, Executed.NO, false, "The resource does not exist"),
+    CONFLICT("conflict", 409, Executed.NO, false, "Another change was accepted first"),
+    IN_PROGRESS_OR_UNKNOWN(
+        "inProgressOrUnknown",
+        409,
+        Executed.UNKNOWN,
+        false,
+        "A call with this key is in progress or its outcome is unknown"
+    ),
+    BODY_TOO_LARGE("bodyTooLarge", 413, Executed.NO, false, "The body is too large"),
+    INVALID_SETTINGS("invalidSettings", 422, Executed.NO, false, "The settings are invalid"),
+    RATE_LIMITED("rateLimited", 429, Executed.NO, true, "The organisation's limit is reached"),
+    INTERNAL("internal", 500, Executed.UNKNOWN, false, "The node failed"),
+    BACKEND_FAILED("backendFailed", 502, Executed.UNKNOWN, false, "The backend servers failed"),
+    OUTCOME_UNKNOWN("outcomeUnknown", 502, Executed.UNKNOWN, false, "The outcome is unknown"),
+    NO_ROUTE("noRoute", 503, Executed.NO, true, "No backend server can take the request"),
+    OVERLOADED("overloaded", 503, Executed.NO, true, "The deadline cannot be met"),
+    LEAVING("leaving", 503, Executed.NO, true, "The node is shutting down"),
+    PLATFORM_UNAVAILABLE(
+        "platformUnavailable",
+        503,
+        Executed.NO,
+        true,
+        "The object API is unavailable"
+    ),
+    DEADLINE_NOT_RUN("deadlineNotRun", 504, Executed.NO, true, "The deadline passed in the queue"),
+    DEADLINE_EXCEEDED("deadlineExceeded", 504, Executed.UNKNOWN, false, "The deadline passed")
+}
--- /dev/null
+++ b/model/src/main/kotlin/org/bramleytrestle/model/Instance.kt
@@ -0,0 +1,26 @@
+package org.bramleytrestle.model
+
+import kotlinx.serialization.Serializable
+
+/**
+ * One entry of the platform's instance list. The list lags, so [leaving] may be late and an
+ * instance may be gone already.
+ *
+ * @property address base URL for callers, such as `http://127.0.0.1:9001`.
+ * @property peerAddress `host:port` of the peer listener; only entry instances have one.
+ * @property layers the layers an engine holds; null for other roles.
+ */
+@Serializable
+public data class Instance(
+    val id: InstanceId,
+    val role: InstanceRole,
+    val address: String,
+    val dataCentre: DataCentre,
+    val peerAddress: String? = null,
+    val pool: String? = null,
+    val model: ModelName? = null,
+    val version: String? = null,
+    val layers: LayerRange? = null,
+    val accelerator: String? = null,
+    val leaving: Boolean = false
+)
--- /dev/null
+++ b/model/src/main/kotlin/org/bramleytrestle/model/LayerRange.kt
@@ -0,0 +1,25 @@
+package org.bramleytrestle.model
+
+import kotlinx.serialization.Serializable
+
+/** Half-open range of model layers, so that adjacent ranges share a boundary. */
+@Serializable
+public data class LayerRange(val from: Int, val until: Int) {
+    init {
+        require(from in 0..<until) { "layers $from..<$until: expected 0 <= from < until" }
+    }
+
+    val size: Int get() = until - from
+
+    public companion object {
+        /** Whether the ranges cover layers 0 until [layers] in order, without gap or overlap. */
+        public fun coversExactly(ranges: List<LayerRange>, layers: Int): Boolean {
+            var next = 0
+            for (range in ranges) {
+                if (range.from != next) return false
+                next = range.until
+            }
+            return next == layers
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/kotlin/org/bramleytrestle/model/RequestId.kt
@@ -0,0 +1,10 @@
+package org.bramleytrestle.model
+
+import kotlinx.serialization.Serializable
+
+/** Identifies one caller request; every reply of a backend server must carry it. */
+@JvmInline
+@Serializable
+public value class RequestId(public val value: String) {
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/settings/src/main/kotlin/org/bramleytrestle/settings/ServiceSettings.kt
@@ -0,0 +1,7 @@
+package org.bramleytrestle.settings
+
+import kotlinx.serialization.Serializable
+
+/** Overrides of one service. */
+@Serializable
+public data class ServiceSettings(val overrides: Overrides = Overrides())
--- /dev/null
+++ b/settings/src/main/kotlin/org/bramleytrestle/settings/SettingsState.kt
@@ -0,0 +1,43 @@
+package org.bramleytrestle.settings
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import kotlinx.serialization.json.JsonObject
+import org.bramleytrestle.model.OrganisationId
+import org.bramleytrestle.model.ServiceName
+
+/** The settings at one revision. Immutable, so that a request reads one revision throughout. */
+public class SettingsState private constructor(
+    public val revision: Long,
+    public val tree: JsonObject,
+    public val document: SettingsDocument
+) {
+    private val fleet = EffectiveSettings().overriddenBy(document.defaults)
+
+    /** Settings in force for [service] of [organisation]; unknown names inherit everything. */
+    public fun effective(
+        organisation: OrganisationId,
+        service: ServiceName? = null
+    ): EffectiveSettings {
+        val branch = document.organisations[organisation.value] ?: return fleet
+        val settings = fleet.overriddenBy(branch.overrides)
+        val leaf = service?.let { branch.services[it.value] } ?: return settings
+        return settings.overriddenBy(leaf.overrides)
+    }
+
+    /** The state after [patch], or every fault that the patched tree would have. */
+    public fun patched(patch: JsonObject): Result<SettingsState, List<SettingsError>> =
+        of(revision + 1, mergePatch(tree, patch) as JsonObject)
+
+    public companion object {
+        public val EMPTY: SettingsState =
+            SettingsState(0, JsonObject(emptyMap()), SettingsDocument())
+
+        /** Checks [tree] against every rule and returns the state at [revision]. */
+        public fun of(
+            revision: Long,
+            tree: JsonObject
+        ): Result<SettingsState, List<SettingsError>> =
+            SettingsValidation.decode(tree).map { SettingsState(revision, tree, it) }
+    }
+}
