--- a/settings/src/main/kotlin/org/bramleytrestle/settings/SettingsState.kt
+++ b/settings/src/main/kotlin/org/bramleytrestle/settings/SettingsState.kt
@@ -29,6 +29,14 @@
     public fun patched(patch: JsonObject): Result<SettingsState, List<SettingsError>> =
         of(revision + 1, mergePatch(tree, patch) as JsonObject)
 
+    /** The state after [change], which must be the next revision. */
+    public fun following(change: Change): Result<SettingsState, List<SettingsError>> {
+        require(change.revision == revision + 1) {
+            "change ${change.revision}: expected revision ${revision + 1}"
+        }
+        return patched(change.patch)
+    }
+
     public companion object {
         public val EMPTY: SettingsState =
             SettingsState(0, JsonObject(emptyMap()), SettingsDocument())
