--- /dev/null
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/Mixing.kt
@@ -0,0 +1,14 @@
+package org.bramleytrestle.routing
+
+private const val SHIFT_1 = 30
+private const val SHIFT_2 = 27
+private const val SHIFT_3 = 31
+private const val MULTIPLIER_1 = -0x40a7b892e31b1a47L
+private const val MULTIPLIER_2 = -0x6b2fb644ecceee15L
+
+/** The finaliser of SplitMix64: every input bit changes about half of the output bits. */
+internal fun mix64(value: Long): Long {
+    val first = (value xor (value ushr SHIFT_1)) * MULTIPLIER_1
+    val second = (first xor (first ushr SHIFT_2)) * MULTIPLIER_2
+    return second xor (second ushr SHIFT_3)
+}
