Add bramleyctl, the node's request handling and the fleet launcher

Cause: the whole path needs callers, operators and a way to start processes. Not yet wired: the node's runtime waits for the platform and backend clients.

--- /dev/null
+++ b/ctl/src/main/kotlin/org/bramleytrestle/ctl/ValidateCommand.kt
@@ -0,0 +1,21 @@
+package org.bramleytrestle.ctl
+
+import com.github.michaelbull.result.getOrElse
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import org.bramleytrestle.settings.SettingsState
+
+/** Checks a settings file without a node. */
+@OptIn(ExperimentalCli::class)
+internal class ValidateCommand :
+    Subcommand("validate", "Check a whole settings file without a node") {
+    private val file by argument(ArgType.String, description = "YAML file")
+
+    override fun execute() {
+        SettingsState.of(1, readSettings(file)).getOrElse { faults ->
+            throw CommandFailure(ExitCode.INVALID, faults.joinToString("\n") { "$file: $it" })
+        }
+        println("$file is valid")
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/PeerListener.kt
@@ -0,0 +1,33 @@
+package org.bramleytrestle.node
+
+import org.bramleytrestle.cluster.ClusterListener
+import org.bramleytrestle.cluster.LimitDemand
+import org.bramleytrestle.cluster.LimitGrant
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.LoadReport
+import org.bramleytrestle.node.servers.ServerRegistry
+import org.bramleytrestle.node.settings.SettingsHolder
+import org.bramleytrestle.settings.Change
+import org.bramleytrestle.settings.SettingsState
+
+/** Connects what peers send to the parts of this node. */
+internal class PeerListener(
+    private val holder: SettingsHolder,
+    private val registry: ServerRegistry,
+    private val demand: (InstanceId, List<LimitDemand>) -> Unit,
+    private val grants: (InstanceId, List<LimitGrant>) -> Unit
+) : ClusterListener {
+    override fun settings(): SettingsState = holder.state
+
+    override fun changesAfter(revision: Long): List<Change>? = holder.changesAfter(revision)
+
+    override fun onChanges(changes: List<Change>) = holder.apply(changes)
+
+    override fun onState(state: SettingsState) = holder.replace(state)
+
+    override fun onReports(reports: List<LoadReport>) = reports.forEach(registry::report)
+
+    override fun onDemand(from: InstanceId, demand: List<LimitDemand>) = demand(from, demand)
+
+    override fun onGrants(from: InstanceId, grants: List<LimitGrant>) = grants(from, grants)
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/config/Listen.kt
@@ -0,0 +1,15 @@
+package org.bramleytrestle.node.config
+
+import kotlinx.serialization.Serializable
+
+/** Address of one listener; port 0 takes a free one. */
+@Serializable
+internal data class Listen(val host: String = "127.0.0.1", val port: Int) {
+    init {
+        require(port in 0..MAX_PORT) { "port $port: expected 0 to $MAX_PORT" }
+    }
+
+    private companion object {
+        const val MAX_PORT = 65_535
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/config/NodeConfig.kt
@@ -0,0 +1,67 @@
+package org.bramleytrestle.node.config
+
+import com.charleskorn.kaml.Yaml
+import com.charleskorn.kaml.YamlException
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.Serializable
+
+/**
+ * What one node learns from its settings file.
+ *
+ * @property instance id of this node.
+ * @property callers listener for callers.
+ * @property operators listener for operators.
+ * @property peers listener for other nodes.
+ * @property platform base URL of the object API.
+ * @property clusterSecret shared by all nodes, at least 16 characters.
+ * @property seeds `host:port` of peer listeners to try first.
+ * @property serverSubset most servers per model and layer range that this node uses.
+ * @property linkMicros one-way time between data centres in microseconds, by `from>to`.
+ * @property keepSeconds how long callers may keep an answer of `/v1/entries`, in seconds.
+ * @property queueLimit most requests that wait at this node.
+ * @property maxBodyBytes longest body that a caller may send, in bytes.
+ */
+@Serializable
+internal data class NodeConfig(
+    val instance: String,
+    val dataCentre: String,
+    val callers: Listen,
+    val operators: Listen,
+    val peers: Listen,
+    val platform: String,
+    val clusterSecret: String,
+    val seeds: List<String> = emptyList(),
+    val operatorTokens: List<OperatorToken> = emptyList(),
+    val serverSubset: Int = 128,
+    val chainMode: ChainMode = ChainMode.ENGINE_FORWARDED,
+    val routing: RoutingMode = RoutingMode.STANDARD,
+    val linkMicros: Map<String, Long> = emptyMap(),
+    val keepSeconds: Long = 30,
+    val queueLimit: Int = 2_000,
+    val maxBodyBytes: Long = 1_000_000
+) {
+    init {
+        require(instance.isNotBlank()) { "instance: got an empty text, expected an id" }
+        require(clusterSecret.length >= MIN_SECRET_CHARS) {
+            "clusterSecret: got ${clusterSecret.length} characters, expected $MIN_SECRET_CHARS"
+        }
+        require(keepSeconds >= 0) { "keepSeconds: got $keepSeconds, expected 0 or more" }
+        require(serverSubset > 0) { "serverSubset: got $serverSubset, expected 1 or more" }
+        require(queueLimit > 0) { "queueLimit: got $queueLimit, expected 1 or more" }
+    }
+
+    companion object {
+        private const val MIN_SECRET_CHARS = 16
+
+        /** Reads a settings file; the error says where the fault is and what was expected. */
+        fun parse(text: String): Result<NodeConfig, String> = try {
+            Ok(Yaml.default.decodeFromString(serializer(), text))
+        } catch (e: YamlException) {
+            Err("${e.path.toHumanReadableString()}, line ${e.line}: ${e.message}")
+        } catch (e: IllegalArgumentException) {
+            Err(e.message.orEmpty())
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/AdminHandlers.kt
@@ -0,0 +1,140 @@
+package org.bramleytrestle.node.http
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.javalin.config.RoutesConfig
+import io.javalin.http.Context
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
+import org.bramleytrestle.model.ErrorKind
+import org.bramleytrestle.model.Failure
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.node.settings.ChangeWriter
+import org.bramleytrestle.node.settings.SettingsHolder
+import org.bramleytrestle.platform.StoreError
+import org.bramleytrestle.settings.Change
+import org.bramleytrestle.settings.EffectiveValue
+import org.bramleytrestle.settings.SettingsDifference
+import org.bramleytrestle.settings.SettingsReport
+
+private val log = KotlinLogging.logger {}
+
+/**
+ * The operator API.
+ *
+ * @property readChanges reads accepted changes after a revision from the platform.
+ * @property drain starts the drain of an instance; false when it is not known here.
+ */
+internal class AdminHandlers(
+    private val auth: OperatorAuth,
+    private val holder: SettingsHolder,
+    private val writer: ChangeWriter,
+    private val status: () -> NodeStatus,
+    private val readChanges: suspend (Long, Int) -> Result<List<Change>, StoreError>,
+    private val drain: (InstanceId) -> Boolean
+) {
+    fun register(routes: RoutesConfig) {
+        routes.get("/admin/settings") { it.operator { settings(this) } }
+        routes.get("/admin/effective") { it.operator { effective(this) } }
+        routes.post("/admin/plan") { it.operator { plan(this) } }
+        routes.post("/admin/changes") { ctx -> change(ctx, auth.operator(ctx)) }
+        routes.get("/admin/changes") { it.operator { changes(this) } }
+        routes.get("/admin/changes/{revision}") { it.operator { oneChange(this) } }
+        routes.get("/admin/status") { it.operator { answer(NodeStatus.serializer(), status()) } }
+        routes.post("/admin/drain") { ctx -> drain(ctx, auth.operator(ctx)) }
+    }
+
+    private fun Context.operator(handler: Context.() -> Unit) {
+        auth.operator(this)
+        handler()
+    }
+
+    private fun settings(ctx: Context) {
+        val state = holder.state
+        ctx.answer(SettingsView.serializer(), SettingsView(state.revision, state.tree))
+    }
+
+    private fun effective(ctx: Context) {
+        val path = ctx.queryParam("path").orEmpty().split('/').filter { it.isNotEmpty() }
+        if (path.size > 2) bad("path: got ${path.size} levels, expected organisation/service")
+        val values = SettingsReport.values(holder.state, path.getOrNull(0), path.getOrNull(1))
+        ctx.answer(ListSerializer(EffectiveValue.serializer()), values)
+    }
+
+    private fun plan(ctx: Context) {
+        val request = ctx.parse(PlanRequest.serializer())
+        val before = holder.state
+        val after = before.patched(request.patch).getOrElse { faults ->
+            fail(Failure(ErrorKind.INVALID_SETTINGS, faults.joinToString("; ")))
+        }
+        val differences = SettingsReport.differences(before, after)
+        ctx.answer(ListSerializer(SettingsDifference.serializer()), differences)
+    }
+
+    private fun change(ctx: Context, operator: String) {
+        val request = ctx.parse(ChangeRequest.serializer())
+        if (request.changeId.isBlank()) bad("changeId: got an empty text, expected an id")
+        if (request.reason.isBlank()) bad("reason: got an empty text, expected a reason")
+        val change = runBlocking { writer.write(request, operator) }.getOrElse { fail(it) }
+        log.info { "node: audit: $operator changed settings to revision ${change.revision}" }
+        ctx.answer(Change.serializer(), change)
+    }
+
+    private fun changes(ctx: Context) {
+        val after = ctx.number("after", default = 0)
+        val limit = ctx.number("limit", default = DEFAULT_PAGE).coerceIn(1, MAX_PAGE)
+        ctx.answer(ListSerializer(Change.serializer()), read(after, limit.toInt()))
+    }
+
+    private fun oneChange(ctx: Context) {
+        val text = ctx.pathParam("revision")
+        val revision = text.toLongOrNull()?.takeIf { it > 0 }
+            ?: bad("revision: got $text, expected a number above 0")
+        val change = read(revision - 1, limit = 1).firstOrNull { it.revision == revision }
+            ?: fail(Failure(ErrorKind.NOT_FOUND, "revision $revision does not exist"))
+        ctx.answer(Change.serializer(), change)
+    }
+
+    private fun drain(ctx: Context, operator: String) {
+        val instance = ctx.queryParam("instance") ?: bad("instance: got nothing, expected an id")
+        if (!drain(InstanceId(instance))) {
+            fail(Failure(ErrorKind.NOT_FOUND, "instance $instance is not known to this node"))
+        }
+        log.info { "node: audit: $operator drains instance $instance" }
+        ctx.status(STATUS_ACCEPTED)
+    }
+
+    private fun read(after: Long, limit: Int): List<Change> =
+        runBlocking { readChanges(after, limit) }.getOrElse { error ->
+            fail(Failure(ErrorKind.PLATFORM_UNAVAILABLE, "the object API answered $error"))
+        }
+
+    private fun Context.number(name: String, default: Long): Long {
+        val text = queryParam(name) ?: return default
+        return text.toLongOrNull() ?: bad("$name: got $text, expected a whole number")
+    }
+
+    private fun <T> Context.parse(serializer: KSerializer<T>): T = try {
+        Json.decodeFromString(serializer, body())
+    } catch (e: SerializationException) {
+        bad("body: ${e.message}")
+    }
+
+    private fun <T> Context.answer(serializer: KSerializer<T>, value: T) {
+        contentType("application/json").result(Json.encodeToString(serializer, value))
+    }
+
+    private fun bad(detail: String): Nothing = fail(Failure(ErrorKind.BAD_REQUEST, detail))
+
+    private fun fail(failure: Failure): Nothing = throw FailureException(failure)
+
+    private companion object {
+        const val DEFAULT_PAGE = 50L
+        const val MAX_PAGE = 500L
+        const val STATUS_ACCEPTED = 202
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/CompletionHandler.kt
@@ -0,0 +1,174 @@
+package org.bramleytrestle.node.http
+
+import com.github.michaelbull.result.fold
+import io.javalin.http.Context
+import java.io.IOException
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.bramleytrestle.model.ErrorKind
+import org.bramleytrestle.model.Failure
+import org.bramleytrestle.model.ModelName
+import org.bramleytrestle.model.ServiceName
+import org.bramleytrestle.model.TokenEvent
+import org.bramleytrestle.node.metrics.NodeMetrics
+import org.bramleytrestle.node.request.CompletionExecutor
+import org.bramleytrestle.node.request.CompletionRequest
+import org.bramleytrestle.settings.EffectiveSettings
+import org.bramleytrestle.settings.ModelSettings
+import org.bramleytrestle.settings.SettingsState
+
+/**
+ * `POST /v1/chat/completions`. The answer is produced apart from the thread that writes it, so
+ * that a slow caller holds a buffer here and no slot of an engine.
+ */
+internal class CompletionHandler(
+    private val executor: CompletionExecutor,
+    private val settings: () -> SettingsState,
+    private val clock: TimeSource.WithComparableMarks,
+    private val metrics: NodeMetrics,
+    private val scope: CoroutineScope
+) {
+    private val json = Json { ignoreUnknownKeys = true }
+
+    fun handle(ctx: Context) {
+        val chat = parse(ctx.body())
+        val state = settings()
+        val headers = CallerHeaders(ctx)
+        val service = ServiceName(ctx.header(CallerHeaders.SERVICE) ?: chat.model)
+        val effective = state.effective(headers.organisation, service)
+        val model = allowedModel(chat.model, state, effective)
+        val request = CompletionRequest(
+            id = headers.request,
+            organisation = headers.organisation,
+            service = service,
+            model = ModelName(chat.model),
+            prompt = chat.prompt(),
+            maxTokens = minOf(chat.maxTokens ?: effective.maxTokens, effective.maxTokens),
+            deadline = headers.deadline(effective, clock),
+            callerKey = chat.user ?: headers.callerKey
+        )
+        ctx.header(CallerHeaders.REQUEST_ID, request.id.value)
+        runBlocking { serve(ctx, request, model, chat.stream) }
+    }
+
+    private fun parse(body: String): ChatRequest {
+        val chat = try {
+            json.decodeFromString(ChatRequest.serializer(), body)
+        } catch (e: SerializationException) {
+            throw FailureException(ErrorKind.BAD_REQUEST, "body: ${e.message}")
+        }
+        if (chat.messages.isEmpty()) {
+            throw FailureException(ErrorKind.BAD_REQUEST, "messages: expected one or more")
+        }
+        if (chat.maxTokens != null && chat.maxTokens <= 0) {
+            val detail = "max_tokens: got ${chat.maxTokens}, expected 1 or more"
+            throw FailureException(ErrorKind.BAD_REQUEST, detail)
+        }
+        return chat
+    }
+
+    private fun allowedModel(
+        name: String,
+        state: SettingsState,
+        effective: EffectiveSettings
+    ): ModelSettings {
+        if (effective.models.isNotEmpty() && name !in effective.models) {
+            val detail = "model: got $name, expected one of ${effective.models.joinToString()}"
+            throw FailureException(ErrorKind.MODEL_NOT_ALLOWED, detail)
+        }
+        return state.document.models[name]
+            ?: throw FailureException(ErrorKind.NOT_FOUND, "model: $name is not known")
+    }
+
+    private suspend fun serve(
+        ctx: Context,
+        request: CompletionRequest,
+        model: ModelSettings,
+        stream: Boolean
+    ) {
+        val tokens = Channel<TokenEvent>(Channel.UNLIMITED)
+        val result = scope.async {
+            try {
+                executor.run(request, model) { tokens.send(it) }
+            } finally {
+                tokens.close()
+            }
+        }
+        val answers = ChatAnswers(request.id.value, request.model.value, createdSeconds())
+        try {
+            if (stream) {
+                val writer = EventStream(ctx, answers)
+                writer.copy(tokens)
+                result.await().fold({ writer.done(it.finishReason) }, { writer.failed(it) })
+            } else {
+                val text = StringBuilder()
+                for (token in tokens) text.append(token.text)
+                result.await().fold(
+                    { end ->
+                        val prompt = request.prompt.split(' ').size
+                        val body = answers.whole("$text", end.finishReason, prompt, end.tokens)
+                        ctx.contentType("application/json").result(body.toString())
+                    },
+                    { Problem.answer(ctx, it) }
+                )
+            }
+            result.await().fold({ metrics.ended("completed") }, { metrics.ended(it.kind) })
+        } catch (e: IOException) {
+            metrics.ended("cancelled")
+        } finally {
+            result.cancel()
+        }
+    }
+
+    private fun createdSeconds() = System.currentTimeMillis() / MILLIS_PER_SECOND
+
+    /** The event stream of one answer; its status line is sent with the first event. */
+    private class EventStream(private val ctx: Context, private val answers: ChatAnswers) {
+        private var writer: SseWriter? = null
+
+        suspend fun copy(tokens: Channel<TokenEvent>) {
+            while (true) {
+                val next = withTimeoutOrNull(PING_INTERVAL) { tokens.receiveCatching() }
+                when {
+                    // Only a write shows whether the caller is still there.
+                    next == null -> writer?.ping()
+                    next.isClosed -> return
+                    else -> open().data(answers.chunk(next.getOrThrow().text, null).toString())
+                }
+            }
+        }
+
+        fun done(finishReason: String) {
+            open().data(answers.chunk(null, finishReason).toString())
+            open().data("[DONE]")
+        }
+
+        fun failed(failure: Failure) {
+            val started = writer
+            if (started == null) {
+                Problem.answer(ctx, failure)
+            } else {
+                started.data(Problem.of(failure).json(), event = "error")
+            }
+        }
+
+        private fun open(): SseWriter = writer ?: run {
+            ctx.status(STATUS_OK).contentType("text/event-stream")
+            ctx.header("Cache-Control", "no-cache")
+            SseWriter(ctx.res().outputStream).also { writer = it }
+        }
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000
+        const val STATUS_OK = 200
+        val PING_INTERVAL = 1.seconds
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/EntriesHandler.kt
@@ -0,0 +1,37 @@
+package org.bramleytrestle.node.http
+
+import io.javalin.http.Context
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.bramleytrestle.cluster.Member
+import org.bramleytrestle.cluster.MemberState
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.OrganisationId
+import org.bramleytrestle.settings.SettingsState
+
+/**
+ * `GET /v1/entries`: the addresses that a caller should use. The callers of an organisation get
+ * the same few nodes everywhere, so that few nodes share its limit.
+ */
+internal class EntriesHandler(
+    private val members: () -> Collection<Member>,
+    private val settings: () -> SettingsState,
+    private val rank: (key: String, ids: Collection<InstanceId>) -> List<InstanceId>,
+    private val keepSeconds: Long
+) {
+    @Serializable
+    private data class Entry(val instance: String, val address: String, val dataCentre: String)
+
+    @Serializable
+    private data class Entries(val entries: List<Entry>, val maxAgeSeconds: Long)
+
+    fun handle(ctx: Context) {
+        val organisation = ctx.queryParam("organisation").orEmpty()
+        val homes = settings().effective(OrganisationId(organisation)).homeNodes
+        val alive = members().filter { it.state == MemberState.ALIVE }.associateBy { it.id }
+        val chosen = rank(organisation, alive.keys).take(homes).mapNotNull { alive[it] }
+        val entries = chosen.map { Entry(it.id.value, it.callerAddress, it.dataCentre.value) }
+        ctx.header("Cache-Control", "max-age=$keepSeconds").contentType("application/json")
+        ctx.result(Json.encodeToString(Entries.serializer(), Entries(entries, keepSeconds)))
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/HttpListener.kt
@@ -0,0 +1,62 @@
+package org.bramleytrestle.node.http
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.javalin.Javalin
+import io.javalin.config.RoutesConfig
+import io.javalin.http.HttpResponseException
+import org.bramleytrestle.model.ErrorKind
+import org.bramleytrestle.model.Failure
+import org.bramleytrestle.node.config.Listen
+
+private val log = KotlinLogging.logger {}
+
+/** One HTTP listener whose errors are all problem documents. */
+internal class HttpListener(
+    private val listen: Listen,
+    maxBodyBytes: Long,
+    routes: RoutesConfig.() -> Unit
+) {
+    private val app = Javalin.create { config ->
+        config.startup.showJavalinBanner = false
+        config.http.maxRequestSize = maxBodyBytes
+        config.jetty.modifyHttpConfiguration { it.requestHeaderSize = MAX_HEADER_BYTES }
+        config.jetty.threadPool = org.eclipse.jetty.util.thread.QueuedThreadPool(MAX_THREADS)
+        config.routes.apply(routes)
+        config.routes.exception(FailureException::class.java) { e, ctx ->
+            Problem.answer(ctx, e.failure)
+        }
+        config.routes.exception(HttpResponseException::class.java) { e, ctx ->
+            Problem.answer(ctx, Failure(kindOf(e.status), e.message.orEmpty()))
+        }
+        config.routes.exception(Exception::class.java) { e, ctx ->
+            log.error(e) { "node: ${ctx.method()} ${ctx.path()} failed" }
+            Problem.answer(ctx, Failure(ErrorKind.INTERNAL, "the node could not answer"))
+        }
+    }
+
+    val port: Int get() = app.port()
+
+    fun start() {
+        app.start(listen.host, listen.port)
+    }
+
+    fun stop() {
+        app.stop()
+    }
+
+    private fun kindOf(status: Int): ErrorKind = when (status) {
+        STATUS_NOT_FOUND, STATUS_METHOD -> ErrorKind.NOT_FOUND
+        STATUS_TOO_LARGE -> ErrorKind.BODY_TOO_LARGE
+        else -> ErrorKind.BAD_REQUEST
+    }
+
+    private companion object {
+        const val MAX_HEADER_BYTES = 16_384
+
+        // One thread per request in flight: 39 requests/s of 7 s each at the planned size.
+        const val MAX_THREADS = 600
+        const val STATUS_NOT_FOUND = 404
+        const val STATUS_METHOD = 405
+        const val STATUS_TOO_LARGE = 413
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/MemberStatus.kt
@@ -0,0 +1,12 @@
+package org.bramleytrestle.node.http
+
+import kotlinx.serialization.Serializable
+
+/** One node in the status answer. */
+@Serializable
+internal data class MemberStatus(
+    val instance: String,
+    val dataCentre: String,
+    val state: String,
+    val appliedRevision: Long
+)
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/NodeStatus.kt
@@ -0,0 +1,16 @@
+package org.bramleytrestle.node.http
+
+import kotlinx.serialization.Serializable
+
+/** Answer of `GET /admin/status`. */
+@Serializable
+internal data class NodeStatus(
+    val instance: String,
+    val revision: Long,
+    val phase: String,
+    val requestsInFlight: Int,
+    val invariantViolations: Long,
+    val platformReachable: Boolean,
+    val members: List<MemberStatus>,
+    val servers: List<ServerStatus>
+)
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/PlanRequest.kt
@@ -0,0 +1,8 @@
+package org.bramleytrestle.node.http
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonObject
+
+/** Body of `POST /admin/plan`: a patch to explain without applying it. */
+@Serializable
+internal data class PlanRequest(val patch: JsonObject)
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/metrics/NodeMetrics.kt
@@ -0,0 +1,80 @@
+package org.bramleytrestle.node.metrics
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+import org.bramleytrestle.model.ErrorKind
+import org.bramleytrestle.model.Side
+
+/** Metrics of one node, exposed in the Prometheus text format. */
+internal class NodeMetrics {
+    private val registry = PrometheusRegistry()
+
+    private val requests = Counter.builder()
+        .name("bramleytrestle_requests_total")
+        .help("Requests by outcome: completed, cancelled or an error kind.")
+        .labelNames("outcome").register(registry)
+
+    private val answers = Counter.builder()
+        .name("bramleytrestle_answers_total")
+        .help("Completed requests by the side that answered.")
+        .labelNames("side").register(registry)
+
+    private val tokens = Counter.builder()
+        .name("bramleytrestle_tokens_total")
+        .help("Generated tokens passed to callers.").register(registry)
+
+    private val retries = Counter.builder()
+        .name("bramleytrestle_retries_total")
+        .help("Attempts after the first.").register(registry)
+
+    private val firstToken = Histogram.builder()
+        .name("bramleytrestle_first_token_seconds")
+        .help("Time from the request until its first token, in seconds.").register(registry)
+
+    private val violations = Counter.builder()
+        .name("bramleytrestle_invariant_violations_total")
+        .help("Violations of what must always hold; expected 0.")
+        .labelNames("invariant").register(registry)
+
+    private val inFlight = Gauge.builder()
+        .name("bramleytrestle_requests_in_flight")
+        .help("Requests in this node now.").register(registry)
+
+    fun ended(outcome: String) = requests.labelValues(outcome).inc()
+
+    fun ended(kind: ErrorKind) = ended(kind.wireName)
+
+    fun side(side: Side) = answers.labelValues(side.name.lowercase()).inc()
+
+    fun tokens(count: Int) = tokens.inc(count.toLong())
+
+    fun retry() = retries.inc()
+
+    fun firstToken(time: Duration) = firstToken.observe(time.toDouble(DurationUnit.SECONDS))
+
+    fun violation(name: String) = violations.labelValues(name).inc()
+
+    fun inFlight(count: Int) = inFlight.set(count.toDouble())
+
+    /** Total of violations of all invariants. */
+    fun violations(): Double = violations.collect().dataPoints.sumOf { it.value }
+
+    /** Exposes [value] under [name] whenever the metrics are read. */
+    fun gauge(name: String, help: String, value: () -> Double) {
+        GaugeWithCallback.builder().name(name).help(help)
+            .callback { it.call(value()) }.register(registry)
+    }
+
+    fun text(): ByteArray {
+        val out = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.builder().build().write(out, registry.scrape())
+        return out.toByteArray()
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/request/CompletionExecutor.kt
@@ -0,0 +1,185 @@
+package org.bramleytrestle.node.request
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.transformWhile
+import kotlinx.coroutines.withTimeoutOrNull
+import org.bramleytrestle.backend.ChainRunner
+import org.bramleytrestle.backend.ChainWork
+import org.bramleytrestle.backend.HopFailure
+import org.bramleytrestle.backend.StreamEvent
+import org.bramleytrestle.model.ErrorKind
+import org.bramleytrestle.model.Failure
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.RepeatPolicy
+import org.bramleytrestle.model.TokenEvent
+import org.bramleytrestle.node.metrics.NodeMetrics
+import org.bramleytrestle.routing.AttemptOutcome
+import org.bramleytrestle.routing.Dispatch
+import org.bramleytrestle.routing.FailedAttempt
+import org.bramleytrestle.routing.RequestRouter
+import org.bramleytrestle.routing.RetryDecision
+import org.bramleytrestle.routing.Work
+import org.bramleytrestle.settings.ModelSettings
+
+private val log = KotlinLogging.logger {}
+
+/**
+ * Runs completions: queue, chain, and after a failure the rest of the answer on another chain.
+ *
+ * @property onFailure told of servers that failed, so that no request goes there soon.
+ * @property onPriority asks all hops of a running attempt for a new priority.
+ */
+internal class CompletionExecutor(
+    private val router: RequestRouter,
+    private val acquirer: DispatchAcquirer,
+    private val runner: ChainRunner,
+    private val clock: TimeSource.WithComparableMarks,
+    private val metrics: NodeMetrics,
+    private val onFailure: (InstanceId, HopFailure) -> Unit,
+    private val onPriority: (ChainWork, Int) -> Unit
+) {
+    /** Passes every token of the answer to [emit], once and in order. */
+    suspend fun run(
+        request: CompletionRequest,
+        model: ModelSettings,
+        emit: suspend (TokenEvent) -> Unit
+    ): Result<CompletionEnd, Failure> {
+        val run = Run(request, model, emit)
+        val left = request.deadline - clock.markNow()
+        val result = try {
+            withTimeoutOrNull(left) { run.attempts() }
+        } catch (e: CancellationException) {
+            run.lifecycle.abandoned()
+            throw e
+        }
+        return result ?: Err(
+            run.lifecycle.ended(Failure(ErrorKind.DEADLINE_NOT_RUN, "the deadline has passed"))
+        )
+    }
+
+    private inner class Run(
+        private val request: CompletionRequest,
+        private val model: ModelSettings,
+        private val emit: suspend (TokenEvent) -> Unit
+    ) {
+        val lifecycle = RequestLifecycle(request.id, atMostOnce = false)
+        private val emitted = mutableListOf<Int>()
+        private val started = clock.markNow()
+
+        suspend fun attempts(): Result<CompletionEnd, Failure> {
+            var work = firstWork()
+            while (true) {
+                lifecycle.queued()
+                val dispatch = acquirer.acquire(work)
+                    .getOrElse { return Err(lifecycle.ended(it)) }
+                val failed = when (val end = attempt(work, dispatch)) {
+                    is StreamEvent.Done -> return Ok(completed(end, work, dispatch))
+                    is StreamEvent.Failed -> end
+                    is StreamEvent.Token -> error("a token is not an end")
+                }
+                work = next(work, dispatch, failed)
+                    .getOrElse { return Err(lifecycle.ended(it)) }
+            }
+        }
+
+        private fun firstWork() = Work(
+            request = request.id,
+            organisation = request.organisation,
+            service = request.service,
+            model = request.model,
+            promptTokens = request.prompt.split(' ').size,
+            maxTokens = request.maxTokens,
+            deadline = request.deadline,
+            sideKey = request.callerKey
+        )
+
+        private suspend fun attempt(work: Work, dispatch: Dispatch): StreamEvent {
+            val chainWork = ChainWork(
+                request = request.id,
+                attempt = work.attempt,
+                model = request.model,
+                version = model.version,
+                hops = dispatch.hops,
+                prompt = request.prompt,
+                emitted = emitted.toList(),
+                maxTokens = request.maxTokens,
+                priority = dispatch.priority
+            )
+            lifecycle.dispatched()
+            var end: StreamEvent? = null
+            try {
+                runner.run(chainWork).transformWhile { event ->
+                    emit(event)
+                    event is StreamEvent.Token
+                }.collect { event ->
+                    if (event is StreamEvent.Token) {
+                        token(event.event)
+                        dispatch.tokens(1)?.let { onPriority(chainWork, it) }
+                    } else {
+                        end = event
+                    }
+                }
+            } catch (e: CancellationException) {
+                dispatch.finish(AttemptOutcome.Cancelled)
+                throw e
+            } catch (e: Exception) {
+                log.error(e) { "node: attempt ${work.attempt} of ${request.id} failed" }
+                dispatch.finish(AttemptOutcome.Cancelled)
+                throw e
+            }
+            return end ?: StreamEvent.Failed(dispatch.hops.first().instance, HopFailure.TRUNCATED)
+        }
+
+        private suspend fun token(event: TokenEvent) {
+            lifecycle.token(event, model.layers)
+            if (emitted.isEmpty()) metrics.firstToken(clock.markNow() - started)
+            emitted += event.id
+            metrics.tokens(1)
+            emit(event)
+        }
+
+        private fun completed(
+            end: StreamEvent.Done,
+            work: Work,
+            dispatch: Dispatch
+        ): CompletionEnd {
+            dispatch.finish(AttemptOutcome.Completed)
+            lifecycle.completed()
+            metrics.side(dispatch.side)
+            return CompletionEnd(emitted.size, end.finishReason, work.attempt)
+        }
+
+        private suspend fun next(
+            work: Work,
+            dispatch: Dispatch,
+            failed: StreamEvent.Failed
+        ): Result<Work, Failure> {
+            val (instance, failure) = failed
+            val overloaded = failure == HopFailure.FULL
+            dispatch.finish(AttemptOutcome.Failed(instance, overloaded))
+            onFailure(instance, failure)
+            // A later hop that refuses proves nothing: the hops before it have run.
+            val notRun = failure.notRun && instance == dispatch.hops.first().instance
+            if (notRun) lifecycle.provenNotRun()
+            log.info { "node: attempt ${work.attempt} of ${request.id}: $instance $failure" }
+            val attempt = FailedAttempt(instance, notRun, RepeatPolicy.REPEATABLE, dispatch.side)
+            val decision = router.retry(work.copy(emittedTokens = emitted.size), attempt)
+            return when (decision) {
+                is RetryDecision.Again -> {
+                    metrics.retry()
+                    delay(decision.delay)
+                    Ok(decision.work)
+                }
+                is RetryDecision.GiveUp ->
+                    Err(Failure(decision.kind, "$instance failed the request: $failure"))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/request/CompletionRequest.kt
@@ -0,0 +1,19 @@
+package org.bramleytrestle.node.request
+
+import kotlin.time.ComparableTimeMark
+import org.bramleytrestle.model.ModelName
+import org.bramleytrestle.model.OrganisationId
+import org.bramleytrestle.model.RequestId
+import org.bramleytrestle.model.ServiceName
+
+/** A checked chat completion. */
+internal data class CompletionRequest(
+    val id: RequestId,
+    val organisation: OrganisationId,
+    val service: ServiceName,
+    val model: ModelName,
+    val prompt: String,
+    val maxTokens: Int,
+    val deadline: ComparableTimeMark,
+    val callerKey: String
+)
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/request/DispatchAcquirer.kt
@@ -0,0 +1,34 @@
+package org.bramleytrestle.node.request
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import org.bramleytrestle.model.Failure
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.routing.AttemptOutcome
+import org.bramleytrestle.routing.Dispatch
+import org.bramleytrestle.routing.RequestRouter
+import org.bramleytrestle.routing.Work
+
+/**
+ * Acquires dispatches and asks again when a server turned out to be leaving after the snapshot
+ * was taken on which the router decided.
+ *
+ * @property usable whether a server may get new work as of now.
+ */
+internal class DispatchAcquirer(
+    private val router: RequestRouter,
+    private val usable: (InstanceId) -> Boolean
+) {
+    suspend fun acquire(work: Work): Result<Dispatch, Failure> {
+        var current = work
+        while (true) {
+            val dispatch = router.acquire(current).getOrElse { return Err(it) }
+            val gone = dispatch.hops.map { it.instance }.filterNot(usable)
+            if (gone.isEmpty()) return Ok(dispatch)
+            dispatch.finish(AttemptOutcome.Cancelled)
+            current = current.copy(excluded = current.excluded + gone)
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/request/ServiceExecutor.kt
@@ -0,0 +1,153 @@
+package org.bramleytrestle.node.request
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import org.bramleytrestle.backend.HopFailure
+import org.bramleytrestle.backend.ServiceCall
+import org.bramleytrestle.backend.ServiceClient
+import org.bramleytrestle.backend.ServiceOutcome
+import org.bramleytrestle.model.ErrorKind
+import org.bramleytrestle.model.Failure
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.RepeatPolicy
+import org.bramleytrestle.node.metrics.NodeMetrics
+import org.bramleytrestle.routing.AttemptOutcome
+import org.bramleytrestle.routing.Dispatch
+import org.bramleytrestle.routing.FailedAttempt
+import org.bramleytrestle.routing.RequestRouter
+import org.bramleytrestle.routing.RetryDecision
+import org.bramleytrestle.routing.Work
+
+private val log = KotlinLogging.logger {}
+
+/** Runs calls of plain services under their repeat policy. */
+internal class ServiceExecutor(
+    private val router: RequestRouter,
+    private val acquirer: DispatchAcquirer,
+    private val client: ServiceClient,
+    private val records: CallRecorder,
+    private val clock: TimeSource.WithComparableMarks,
+    private val metrics: NodeMetrics,
+    private val onFailure: (InstanceId, HopFailure) -> Unit
+) {
+    suspend fun run(request: ServiceRequest): Result<ServiceOutcome.Answer, Failure> {
+        if (request.policy != RepeatPolicy.NEVER || request.idempotencyKey == null) {
+            return Run(request).bounded()
+        }
+        val known = records.begin(request).getOrElse { return Err(it) }
+        if (known != null) return Ok(known)
+        // A caller that goes away must not leave the record without its outcome.
+        return withContext(NonCancellable) { recorded(request) }
+    }
+
+    private suspend fun recorded(request: ServiceRequest): Result<ServiceOutcome.Answer, Failure> {
+        val run = Run(request)
+        return run.bounded()
+            .onSuccess { records.complete(request, it) }
+            .onFailure { if (!run.lifecycle.mayHaveRun) records.release(request) }
+    }
+
+    private inner class Run(private val request: ServiceRequest) {
+        val lifecycle =
+            RequestLifecycle(request.id, atMostOnce = request.policy == RepeatPolicy.NEVER)
+
+        suspend fun bounded(): Result<ServiceOutcome.Answer, Failure> {
+            val left = request.deadline - clock.markNow()
+            val result = try {
+                withTimeoutOrNull(left) { attempts() }
+            } catch (e: CancellationException) {
+                lifecycle.abandoned()
+                throw e
+            }
+            val late = Failure(ErrorKind.DEADLINE_NOT_RUN, "the deadline has passed")
+            return result ?: Err(lifecycle.ended(late))
+        }
+
+        private suspend fun attempts(): Result<ServiceOutcome.Answer, Failure> {
+            var work = Work(
+                request = request.id,
+                organisation = request.organisation,
+                service = request.service,
+                deadline = request.deadline,
+                sideKey = request.callerKey
+            )
+            while (true) {
+                lifecycle.queued()
+                val dispatch = acquirer.acquire(work)
+                    .getOrElse { return Err(lifecycle.ended(it)) }
+                val (failure, notRun) = when (val outcome = attempt(work, dispatch)) {
+                    is ServiceOutcome.Answer -> return Ok(completed(outcome, dispatch))
+                    is ServiceOutcome.NotRun -> outcome.failure to true
+                    is ServiceOutcome.Unknown -> outcome.failure to false
+                }
+                work = next(work, dispatch, failure, notRun)
+                    .getOrElse { return Err(lifecycle.ended(it)) }
+            }
+        }
+
+        private suspend fun attempt(work: Work, dispatch: Dispatch): ServiceOutcome {
+            val call = ServiceCall(
+                request = request.id,
+                attempt = work.attempt,
+                address = dispatch.hops.first().address,
+                method = request.method,
+                path = request.path,
+                headers = request.headers,
+                body = request.body,
+                timeout = request.deadline - clock.markNow(),
+                mayRepeat = request.policy == RepeatPolicy.REPEATABLE
+            )
+            lifecycle.dispatched()
+            return try {
+                client.call(call)
+            } catch (e: Exception) {
+                dispatch.finish(AttemptOutcome.Cancelled)
+                throw e
+            }
+        }
+
+        private fun completed(
+            answer: ServiceOutcome.Answer,
+            dispatch: Dispatch
+        ): ServiceOutcome.Answer {
+            dispatch.finish(AttemptOutcome.Completed)
+            lifecycle.completed()
+            metrics.side(dispatch.side)
+            return answer
+        }
+
+        private suspend fun next(
+            work: Work,
+            dispatch: Dispatch,
+            failure: HopFailure,
+            notRun: Boolean
+        ): Result<Work, Failure> {
+            val instance = dispatch.hops.first().instance
+            dispatch.finish(AttemptOutcome.Failed(instance, failure == HopFailure.FULL))
+            onFailure(instance, failure)
+            if (notRun) lifecycle.provenNotRun()
+            log.info { "node: attempt ${work.attempt} of ${request.id}: $instance $failure" }
+            val attempt = FailedAttempt(instance, notRun, request.policy, dispatch.side)
+            return when (val decision = router.retry(work, attempt)) {
+                is RetryDecision.Again -> {
+                    metrics.retry()
+                    delay(decision.delay)
+                    Ok(decision.work)
+                }
+                is RetryDecision.GiveUp ->
+                    Err(Failure(decision.kind, "$instance failed the call: $failure"))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/servers/ReportPoller.kt
@@ -0,0 +1,65 @@
+package org.bramleytrestle.node.servers
+
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.bramleytrestle.backend.EngineControl
+import org.bramleytrestle.model.Instance
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.LoadReport
+
+/**
+ * Polls the load of the backend servers that this node is responsible for and shares it with the
+ * other nodes in batches.
+ *
+ * @property assigned whether this node polls a server.
+ */
+internal class ReportPoller(
+    private val control: EngineControl,
+    private val registry: ServerRegistry,
+    private val assigned: (Instance) -> Boolean,
+    private val share: (List<LoadReport>) -> Unit,
+    private val interval: Duration = 500.milliseconds
+) {
+    private val jobs = HashMap<InstanceId, Job>()
+    private val fresh = ConcurrentLinkedQueue<LoadReport>()
+
+    suspend fun run(scope: CoroutineScope) {
+        while (true) {
+            val wanted = registry.backendServers().filter(assigned).associateBy { it.id }
+            jobs.entries.removeIf { (id, job) -> (id !in wanted).also { if (it) job.cancel() } }
+            for ((id, instance) in wanted) jobs.getOrPut(id) { scope.launch { poll(instance) } }
+            val batch = generateSequence { fresh.poll() }.toList()
+            if (batch.isNotEmpty()) share(batch)
+            delay(interval)
+        }
+    }
+
+    private suspend fun poll(instance: Instance) {
+        var failures = 0
+        while (true) {
+            control.report(instance.address)
+                .onSuccess {
+                    failures = 0
+                    registry.report(it)
+                    fresh += it
+                }
+                .onFailure { failure ->
+                    failures++
+                    if (failures >= FAILURES_UNTIL_REST) registry.failed(instance.id, failure)
+                }
+            delay(interval)
+        }
+    }
+
+    private companion object {
+        // One lost poll is common on a slow link; two in a row are 2 heartbeat intervals.
+        const val FAILURES_UNTIL_REST = 2
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/settings/ChangeWriter.kt
@@ -0,0 +1,66 @@
+package org.bramleytrestle.node.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import org.bramleytrestle.model.ErrorKind
+import org.bramleytrestle.model.Failure
+import org.bramleytrestle.node.http.ChangeRequest
+import org.bramleytrestle.platform.AppendOutcome
+import org.bramleytrestle.platform.ChangeLog
+import org.bramleytrestle.settings.Change
+
+/** Accepts changes of operators: checks them, appends them to the log, puts them in force. */
+internal class ChangeWriter(private val holder: SettingsHolder, private val log: ChangeLog) {
+    /** Returns the accepted change; a repeat with the same id returns the one accepted before. */
+    suspend fun write(request: ChangeRequest, author: String): Result<Change, Failure> {
+        val state = holder.state
+        if (request.baseRevision > state.revision) {
+            return conflict("this node has revision ${state.revision} in force, try again")
+        }
+        if (request.baseRevision < state.revision) return lost(request)
+        val next = state.patched(request.patch).getOrElse { faults ->
+            return Err(Failure(ErrorKind.INVALID_SETTINGS, faults.joinToString("; ")))
+        }
+        val change = Change(
+            revision = next.revision,
+            changeId = request.changeId,
+            author = author,
+            reason = request.reason,
+            timeMillis = System.currentTimeMillis(),
+            patch = request.patch,
+            undo = next.patchTo(state)
+        )
+        return when (val outcome = log.append(change)) {
+            AppendOutcome.Accepted -> Ok(change.also { holder.apply(listOf(it)) })
+            is AppendOutcome.Conflict -> {
+                holder.apply(listOf(outcome.winner))
+                conflict(describe(outcome.winner))
+            }
+            AppendOutcome.Unavailable -> Err(
+                Failure(ErrorKind.PLATFORM_UNAVAILABLE, "the change was not accepted")
+            )
+            AppendOutcome.Unknown -> Err(
+                Failure(
+                    ErrorKind.OUTCOME_UNKNOWN,
+                    "change ${change.changeId} may have been accepted; send it again as it is"
+                )
+            )
+        }
+    }
+
+    private suspend fun lost(request: ChangeRequest): Result<Change, Failure> {
+        val later = holder.changesAfter(request.baseRevision)
+            ?: log.readAfter(request.baseRevision).getOrElse { emptyList() }
+        val same = later.firstOrNull { it.changeId == request.changeId }
+        if (same != null) return Ok(same)
+        val winner = later.firstOrNull() ?: return conflict("the base revision is not the newest")
+        return conflict(describe(winner))
+    }
+
+    private fun describe(winner: Change) =
+        "revision ${winner.revision} is change ${winner.changeId} by ${winner.author}"
+
+    private fun conflict(detail: String) = Err(Failure(ErrorKind.CONFLICT, detail))
+}
--- a/settings/src/main/kotlin/org/bramleytrestle/settings/MergePatch.kt
+++ b/settings/src/main/kotlin/org/bramleytrestle/settings/MergePatch.kt
@@ -13,3 +13,13 @@
     }
     return JsonObject(merged)
 }
+
+/** The merge patch that turns [from] into [to]. */
+internal fun mergePatchBetween(from: JsonObject, to: JsonObject): JsonObject {
+    val removed = (from.keys - to.keys).associateWith { JsonNull }
+    val altered = to.filter { (key, value) -> from[key] != value }.mapValues { (key, value) ->
+        val old = from[key]
+        if (old is JsonObject && value is JsonObject) mergePatchBetween(old, value) else value
+    }
+    return JsonObject(removed + altered)
+}
--- a/settings/src/main/kotlin/org/bramleytrestle/settings/SettingsState.kt
+++ b/settings/src/main/kotlin/org/bramleytrestle/settings/SettingsState.kt
@@ -29,6 +29,9 @@
     public fun patched(patch: JsonObject): Result<SettingsState, List<SettingsError>> =
         of(revision + 1, mergePatch(tree, patch) as JsonObject)
 
+    /** The patch that turns this state into [target]. */
+    public fun patchTo(target: SettingsState): JsonObject = mergePatchBetween(tree, target.tree)
+
     /** The state after [change], which must be the next revision. */
     public fun following(change: Change): Result<SettingsState, List<SettingsError>> {
         require(change.revision == revision + 1) {
--- /dev/null
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/EngineSpec.kt
@@ -0,0 +1,16 @@
+package org.bramleytrestle.standins.fleet
+
+import org.bramleytrestle.model.LayerRange
+
+/** A stand-in engine to start; [microsPerLayer] is its time for one layer of one step. */
+internal data class EngineSpec(
+    val id: String,
+    val pool: String,
+    val model: String,
+    val layers: LayerRange,
+    val version: String = "1",
+    val accelerator: String = "a",
+    val dataCentre: String = "dc1",
+    val microsPerLayer: Long = 500,
+    val slots: Int = 8
+)
