Add cluster membership and settings dissemination over TCP

Nodes had interfaces for peers but no implementation.

Larger sizes and faults are not measured yet.

--- /dev/null
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterNode.kt
@@ -0,0 +1,125 @@
+package org.bramleytrestle.cluster
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlin.random.Random
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.launch
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.LoadReport
+import org.bramleytrestle.settings.Change
+
+/** Runs a [ClusterCore] over a [Transport]: one coroutine takes all inputs in turn. */
+internal class ClusterNode(
+    private val settings: ClusterSettings,
+    listener: ClusterListener,
+    private val transport: Transport,
+    private val scope: CoroutineScope,
+    clock: TimeSource,
+    startSeconds: Long,
+    random: Random,
+    reportBytesPerSecond: Int,
+    wantsReport: (InstanceId, InstanceId) -> Boolean
+) : Cluster,
+    ClusterCore.Output {
+    private val origin = clock.markNow()
+    private val inputs = Channel<(ClusterCore) -> Unit>(Channel.UNLIMITED)
+    private val core = ClusterCore(
+        settings,
+        listener,
+        random,
+        this,
+        startSeconds,
+        now(),
+        reportBytesPerSecond,
+        wantsReport
+    )
+    private val present = MutableStateFlow(core.members())
+    private var jobs = emptyList<Job>()
+
+    override val members: StateFlow<Map<InstanceId, Member>> = present.asStateFlow()
+
+    override suspend fun start() {
+        transport.start { from, frame -> input { it.receive(from, frame, now()) } }
+        jobs = listOf(
+            scope.launch {
+                for (action in inputs) {
+                    runCatching { action(core) }
+                        .onFailure { log.error(it) { "cluster: an input failed" } }
+                }
+            },
+            scope.launch {
+                while (true) {
+                    val done = CompletableDeferred<Unit>()
+                    input {
+                        try {
+                            it.tick(now())
+                            present.value = it.members()
+                        } finally {
+                            done.complete(Unit)
+                        }
+                    }
+                    // Ticks must not pile up while an input takes long.
+                    done.await()
+                    delay(settings.intervals.heartbeat / TICKS_PER_HEARTBEAT)
+                }
+            }
+        )
+    }
+
+    override fun addSeeds(peerAddresses: Collection<String>): Unit =
+        input { it.addSeeds(peerAddresses) }
+
+    override fun pushChanges(changes: List<Change>): Unit = input { it.pushChanges(changes) }
+
+    override fun shareReports(reports: List<LoadReport>): Unit = input { it.shareReports(reports) }
+
+    override fun sendDemand(to: InstanceId, demand: List<LimitDemand>): Unit =
+        input { it.sendDemand(to, demand) }
+
+    override fun sendGrants(to: InstanceId, grants: List<LimitGrant>): Unit =
+        input { it.sendGrants(to, grants) }
+
+    override fun leave(): Unit = input { it.leave() }
+
+    override suspend fun stop() {
+        if (jobs.isNotEmpty()) {
+            val done = CompletableDeferred<Unit>()
+            input {
+                it.stop()
+                done.complete(Unit)
+            }
+            done.await()
+            jobs.forEach { it.cancelAndJoin() }
+        }
+        transport.stop()
+    }
+
+    override fun send(to: String, frame: ByteArray, delivery: Delivery) {
+        transport.send(to, frame, delivery)
+    }
+
+    override fun replaceIfSilent(to: String) {
+        transport.replaceIfSilent(to)
+    }
+
+    private fun input(action: (ClusterCore) -> Unit) {
+        inputs.trySend(action)
+    }
+
+    private fun now(): Long = origin.elapsedNow().inWholeMilliseconds
+
+    private companion object {
+        private val log = KotlinLogging.logger {}
+
+        const val TICKS_PER_HEARTBEAT = 5
+    }
+}
--- /dev/null
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/Handshake.kt
@@ -0,0 +1,139 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package org.bramleytrestle.cluster
+
+import java.io.ByteArrayOutputStream
+import java.io.DataOutputStream
+import java.security.MessageDigest
+import java.security.SecureRandom
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.CborArray
+
+/** First frame of a connection, from the side that opened it. */
+@Serializable
+@CborArray
+internal class Hello(val version: Int, val address: String, @ByteString val nonce: ByteArray)
+
+/** Answer to [Hello], with the responder's proof. */
+@Serializable
+@CborArray
+internal class Challenge(
+    val address: String,
+    @ByteString val nonce: ByteArray,
+    @ByteString val proof: ByteArray
+)
+
+/** The initiator's proof; frames with messages follow. */
+@Serializable
+@CborArray
+internal class Proof(@ByteString val proof: ByteArray)
+
+/** A connection that did not pass the set-up. The message is meant for the log. */
+internal class HandshakeException(message: String) : Exception(message)
+
+/**
+ * Mutual authentication of a new connection: both sides prove the shared secret over both nonces
+ * and both addresses. The role is part of the MAC, so that neither side's proof can be sent back
+ * to it as the other side's.
+ */
+internal class Handshake(
+    private val address: String,
+    private val secret: ByteArray,
+    private val random: SecureRandom = SecureRandom()
+) {
+    /** Reads and writes the frames of one connection. */
+    interface Frames {
+        suspend fun read(): ByteArray
+
+        suspend fun write(frame: ByteArray)
+    }
+
+    /** @throws HandshakeException unless the peer knows the secret. */
+    suspend fun initiate(frames: Frames) {
+        val nonce = nonce()
+        frames.write(encode(Hello.serializer(), Hello(VERSION, address, nonce)))
+        val challenge = decode(Challenge.serializer(), frames.read())
+        checkNonce(challenge.nonce, nonce)
+        val parties = Parties(address, challenge.address, nonce, challenge.nonce)
+        checkProof(challenge.proof, proof(RESPONDER, parties), challenge.address)
+        frames.write(encode(Proof.serializer(), Proof(proof(INITIATOR, parties))))
+    }
+
+    /**
+     * Returns the peer's address.
+     *
+     * @throws HandshakeException unless the peer knows the secret.
+     */
+    suspend fun respond(frames: Frames): String {
+        val hello = decode(Hello.serializer(), frames.read())
+        if (hello.version != VERSION) {
+            throw HandshakeException("protocol version ${hello.version}: expected $VERSION")
+        }
+        val nonce = nonce()
+        checkNonce(hello.nonce, nonce)
+        val parties = Parties(hello.address, address, hello.nonce, nonce)
+        val challenge = Challenge(address, nonce, proof(RESPONDER, parties))
+        frames.write(encode(Challenge.serializer(), challenge))
+        val answer = decode(Proof.serializer(), frames.read())
+        checkProof(answer.proof, proof(INITIATOR, parties), hello.address)
+        return hello.address
+    }
+
+    private class Parties(
+        val initiator: String,
+        val responder: String,
+        val initiatorNonce: ByteArray,
+        val responderNonce: ByteArray
+    )
+
+    private fun proof(role: String, parties: Parties): ByteArray {
+        val input = ByteArrayOutputStream()
+        // The length prefix of writeUTF keeps two different pairs of addresses different here.
+        DataOutputStream(input).run {
+            writeUTF(role)
+            writeUTF(parties.initiator)
+            writeUTF(parties.responder)
+            write(parties.initiatorNonce)
+            write(parties.responderNonce)
+        }
+        val mac = Mac.getInstance(ALGORITHM)
+        mac.init(SecretKeySpec(secret, ALGORITHM))
+        return mac.doFinal(input.toByteArray())
+    }
+
+    private fun checkProof(actual: ByteArray, expected: ByteArray, peer: String) {
+        if (!MessageDigest.isEqual(actual, expected)) {
+            throw HandshakeException("$peer does not know the shared secret")
+        }
+    }
+
+    private fun checkNonce(theirs: ByteArray, ours: ByteArray) {
+        if (theirs.size != NONCE_BYTES || theirs.contentEquals(ours)) {
+            throw HandshakeException("nonce: expected $NONCE_BYTES bytes that are not our own")
+        }
+    }
+
+    private fun nonce() = ByteArray(NONCE_BYTES).also { random.nextBytes(it) }
+
+    private fun <T> encode(serializer: KSerializer<T>, value: T): ByteArray =
+        MessageCodec.cbor.encodeToByteArray(serializer, value)
+
+    private fun <T> decode(serializer: KSerializer<T>, frame: ByteArray): T = try {
+        MessageCodec.cbor.decodeFromByteArray(serializer, frame)
+    } catch (e: Exception) {
+        throw HandshakeException("frame of ${frame.size} bytes is not the expected one")
+    }
+
+    private companion object {
+        const val VERSION = 1
+        const val NONCE_BYTES = 32
+        const val ALGORITHM = "HmacSHA256"
+        const val INITIATOR = "initiator"
+        const val RESPONDER = "responder"
+    }
+}
