--- a/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
@@ -1,10 +1,6 @@
 package org.bramleytrestle.node
 
-import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Result
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.javalin.config.RoutesConfig
-import io.javalin.http.Context
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -14,7 +10,6 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import org.bramleytrestle.backend.Backends
-import org.bramleytrestle.backend.ChainWork
 import org.bramleytrestle.backend.HopFailure
 import org.bramleytrestle.cluster.Cluster
 import org.bramleytrestle.cluster.ClusterSettings
@@ -22,31 +17,21 @@
 import org.bramleytrestle.cluster.reporters
 import org.bramleytrestle.cluster.watchers
 import org.bramleytrestle.model.DataCentre
-import org.bramleytrestle.model.ErrorKind
-import org.bramleytrestle.model.Failure
 import org.bramleytrestle.model.Instance
 import org.bramleytrestle.model.InstanceId
 import org.bramleytrestle.model.InstanceRole
 import org.bramleytrestle.model.Invariants
-import org.bramleytrestle.node.config.ChainMode
 import org.bramleytrestle.node.config.NodeConfig
 import org.bramleytrestle.node.drain.Drain
 import org.bramleytrestle.node.drain.DrainPhase
 import org.bramleytrestle.node.http.AdminHandlers
-import org.bramleytrestle.node.http.CompletionHandler
-import org.bramleytrestle.node.http.EntriesHandler
-import org.bramleytrestle.node.http.FailureException
+import org.bramleytrestle.node.http.CallerRoutes
 import org.bramleytrestle.node.http.HttpListener
 import org.bramleytrestle.node.http.MemberStatus
 import org.bramleytrestle.node.http.NodeStatus
 import org.bramleytrestle.node.http.OperatorAuth
 import org.bramleytrestle.node.http.ServerStatus
-import org.bramleytrestle.node.http.ServiceHandler
 import org.bramleytrestle.node.metrics.NodeMetrics
-import org.bramleytrestle.node.request.CallRecorder
-import org.bramleytrestle.node.request.CompletionExecutor
-import org.bramleytrestle.node.request.DispatchAcquirer
-import org.bramleytrestle.node.request.ServiceExecutor
 import org.bramleytrestle.node.servers.ReportPoller
 import org.bramleytrestle.node.servers.ServerRegistry
 import org.bramleytrestle.node.servers.SnapshotPublisher
@@ -59,5 +44,206 @@
 import org.bramleytrestle.routing.DefaultChainPlanner
 import org.bramleytrestle.routing.DefaultRequestRouter
 import org.bramleytrestle.routing.RoutingSnapshot
+import org.bramleytrestle.settings.Change
 
 private val log = KotlinLogging.logger {}
+
+/**
+ * One node: listeners, request execution and what it exchanges with the platform and its peers.
+ *
+ * @property random seeds every random decision of this node.
+ */
+internal class NodeRuntime(
+    private val config: NodeConfig,
+    private val clock: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    random: Random = Random.Default
+) {
+    private val id = InstanceId(config.instance)
+    private val dataCentre = DataCentre(config.dataCentre)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val metrics = NodeMetrics()
+    private val store = HttpObjectStore(config.platform)
+    private val changeLog = ChangeLog(store)
+    private val instances = InstanceList(store)
+    private val registry = ServerRegistry(clock)
+    private val holder = SettingsHolder(::settingsApplied)
+    private val backends = Backends.http()
+    private val planner = DefaultChainPlanner(random)
+    private val router = DefaultRequestRouter(planner, clock, random)
+    private val publisher = SnapshotPublisher(
+        planner = planner,
+        registry = registry,
+        settings = { holder.state },
+        base = RoutingSnapshot(
+            settings = holder.state,
+            servers = emptyMap(),
+            reports = emptyMap(),
+            linkMicros = config.linkMicros,
+            dataCentre = config.dataCentre
+        ),
+        onPublished = router::onSnapshot
+    )
+    private val cluster: Cluster = Clusters.tcp(
+        settings = ClusterSettings(
+            id = id,
+            dataCentre = dataCentre,
+            listenAddress = "${config.peers.host}:${config.peers.port}",
+            callerAddress = "http://${config.callers.host}:${config.callers.port}",
+            secret = config.clusterSecret.toByteArray(),
+            seeds = config.seeds
+        ),
+        listener = PeerListener(
+            holder = holder,
+            registry = registry,
+            demand = { _, _ -> },
+            grants = { _, _ -> },
+            onServers = { publisher.request() }
+        ),
+        scope = scope,
+        random = random
+    )
+    private val drain = Drain(config.keepSeconds.seconds + KEEP_MARGIN) { cluster.leave() }
+    private val routes = CallerRoutes(
+        config = config,
+        router = router,
+        backends = backends,
+        records = records,
+        clock = clock,
+        metrics = metrics,
+        drain = drain,
+        scope = scope,
+        settings = { holder.state },
+        usable = { it in registry.usable() },
+        members = ::members,
+        onFailure = ::serverFailed,
+        ready = ::ready
+    )
+    private val callerListener =
+        HttpListener(config.callers, config.maxBodyBytes, drain::counting) {
+            routes.register(this)
+        }
+    private val operatorListener =
+        HttpListener(config.operators, MAX_OPERATOR_BODY_BYTES) { admin().register(this) }
+
+    suspend fun start() {
+        Invariants.onViolation { name, detail ->
+            metrics.violation(name)
+            log.error { "node: invariant $name violated: $detail" }
+        }
+        exposeGauges()
+        cluster.start()
+        scope.launch { instances.run() }
+        scope.launch { instances.instances.collect(::listed) }
+        scope.launch { SettingsFollower(holder, changeLog, ::isWatcher).run() }
+        scope.launch { publisher.run() }
+        scope.launch {
+            ReportPoller(backends.control, registry, ::polls, cluster::shareReports).run(scope)
+        }
+        operatorListener.start()
+        callerListener.start()
+    }
+
+    /** Graceful shutdown: returns when no request is in flight and peers know. */
+    suspend fun drainAndStop() {
+        drain.run()
+        callerListener.stop()
+        operatorListener.stop()
+        cluster.stop()
+        scope.cancel()
+    }
+
+    private fun settingsApplied(changes: List<Change>) {
+        if (changes.isNotEmpty()) cluster.pushChanges(changes)
+        publisher.request()
+    }
+
+    private fun listed(list: List<Instance>) {
+        registry.list(list)
+        cluster.addSeeds(
+            list.filter { it.role == InstanceRole.ENTRY && it.id != id }
+                .mapNotNull { it.peerAddress }
+        )
+        publisher.request()
+    }
+
+    private fun members() = cluster.members.value.values
+
+    private fun isWatcher(): Boolean = id in watchers(members(), dataCentre)
+
+    /** Servers of a data centre without live members are polled by members of all others. */
+    private fun polls(server: Instance): Boolean {
+        val near = reporters(members(), server.dataCentre, server.id)
+        if (near.isNotEmpty()) return id in near
+        return id in reporters(members(), dataCentre, server.id, count = 1)
+    }
+
+    private fun serverFailed(instance: InstanceId, failure: HopFailure) {
+        registry.failed(instance, failure)
+        publisher.request()
+    }
+
+    /** Ready once the platform's list or a peer's state has arrived. */
+    private fun ready(): Boolean = drain.phase == DrainPhase.RUNNING &&
+        (instances.instances.value.isNotEmpty() || holder.state.revision > 0)
+
+    private fun admin() = AdminHandlers(
+        auth = OperatorAuth(config.operatorTokens),
+        holder = holder,
+        writer = ChangeWriter(holder, changeLog),
+        status = ::status,
+        readChanges = { after, limit -> changeLog.readAfter(after, limit) },
+        drain = ::startDrain
+    )
+
+    private fun startDrain(instance: InstanceId): Boolean {
+        if (instance == id) {
+            scope.launch { drainAndStop() }
+            return true
+        }
+        if (registry.backendServers().none { it.id == instance }) return false
+        registry.leaving(instance)
+        publisher.request()
+        return true
+    }
+
+    private fun status(): NodeStatus {
+        val usable = registry.usable()
+        val reports = registry.reports()
+        return NodeStatus(
+            instance = config.instance,
+            revision = holder.state.revision,
+            phase = drain.phase.name,
+            requestsInFlight = drain.inFlight,
+            invariantViolations = metrics.violations().toLong(),
+            members = members().sortedBy { it.id.value }.map {
+                val revision = if (it.id == id) holder.state.revision else it.appliedRevision
+                MemberStatus(it.id.value, it.dataCentre.value, it.state.name, revision)
+            },
+            servers = registry.backendServers().sortedBy { it.id.value }.map {
+                val report = reports[it.id]
+                ServerStatus(it.id.value, it.pool, it.id in usable, report?.running, report?.waiting)
+            }
+        )
+    }
+
+    private fun exposeGauges() {
+        metrics.gauge("bramleytrestle_settings_revision", "Settings revision in force.") {
+            holder.state.revision.toDouble()
+        }
+        metrics.gauge("bramleytrestle_members", "Nodes known to this node.") {
+            members().size.toDouble()
+        }
+        metrics.gauge("bramleytrestle_servers_usable", "Backend servers that may get work.") {
+            registry.usable().size.toDouble()
+        }
+        metrics.gauge("bramleytrestle_requests_in_flight", "Requests in this node now.") {
+            drain.inFlight.toDouble()
+        }
+    }
+
+    private companion object {
+        /** Covers clocks and the way of an entries answer to the caller. */
+        val KEEP_MARGIN = 5.seconds
+        const val MAX_OPERATOR_BODY_BYTES = 2_000_000L
+    }
+}
--- a/node/src/main/kotlin/org/bramleytrestle/node/PeerListener.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/PeerListener.kt
@@ -15,7 +15,8 @@
     private val holder: SettingsHolder,
     private val registry: ServerRegistry,
     private val demand: (InstanceId, List<LimitDemand>) -> Unit,
-    private val grants: (InstanceId, List<LimitGrant>) -> Unit
+    private val grants: (InstanceId, List<LimitGrant>) -> Unit,
+    private val onServers: () -> Unit
 ) : ClusterListener {
     override fun settings(): SettingsState = holder.state
 
@@ -25,7 +26,10 @@
 
     override fun onState(state: SettingsState) = holder.replace(state)
 
-    override fun onReports(reports: List<LoadReport>) = reports.forEach(registry::report)
+    override fun onReports(reports: List<LoadReport>) {
+        reports.forEach(registry::report)
+        if (reports.any { it.leaving }) onServers()
+    }
 
     override fun onDemand(from: InstanceId, demand: List<LimitDemand>) = demand(from, demand)
 
--- a/node/src/main/kotlin/org/bramleytrestle/node/drain/Drain.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/drain/Drain.kt
@@ -23,17 +23,18 @@
     val phase: DrainPhase get() = current.get()
     val inFlight: Int get() = active.get()
 
-    /** Counts a request in; false when the node no longer accepts any. */
-    fun enter(): Boolean {
-        // Counted before the phase is read, so that the drain cannot miss it in between.
-        active.incrementAndGet()
-        if (phase < DrainPhase.REFUSING) return true
-        active.decrementAndGet()
-        return false
-    }
+    /** Whether new requests are accepted; asked by a request that is counted already. */
+    val accepting: Boolean get() = phase < DrainPhase.REFUSING
 
-    fun exit() {
-        active.decrementAndGet()
+    /** Counts [exchange] as in flight until its answer is written. */
+    fun counting(exchange: () -> Unit) {
+        // Counted before the phase is read, so that the drain cannot miss a request in between.
+        active.incrementAndGet()
+        try {
+            exchange()
+        } finally {
+            active.decrementAndGet()
+        }
     }
 
     /** Leaves, waits out kept answers, refuses, and returns when nothing is in flight. */
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/CallerRoutes.kt
@@ -0,0 +1,119 @@
+package org.bramleytrestle.node.http
+
+import io.javalin.config.RoutesConfig
+import io.javalin.http.Context
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.bramleytrestle.backend.Backends
+import org.bramleytrestle.backend.ChainRunner
+import org.bramleytrestle.backend.ChainWork
+import org.bramleytrestle.backend.HopFailure
+import org.bramleytrestle.cluster.Member
+import org.bramleytrestle.model.ErrorKind
+import org.bramleytrestle.model.Failure
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.Rendezvous
+import org.bramleytrestle.node.config.ChainMode
+import org.bramleytrestle.node.config.NodeConfig
+import org.bramleytrestle.node.drain.Drain
+import org.bramleytrestle.node.metrics.NodeMetrics
+import org.bramleytrestle.node.request.CallRecorder
+import org.bramleytrestle.node.request.CompletionExecutor
+import org.bramleytrestle.node.request.DispatchAcquirer
+import org.bramleytrestle.node.request.ServiceExecutor
+import org.bramleytrestle.routing.RequestRouter
+import org.bramleytrestle.settings.SettingsState
+
+/**
+ * Routes of the callers' listener.
+ *
+ * @property usable whether a backend server may get new work as of now.
+ * @property onFailure told of servers that failed a request.
+ */
+internal class CallerRoutes(
+    private val config: NodeConfig,
+    private val router: RequestRouter,
+    private val backends: Backends,
+    private val records: CallRecorder,
+    private val clock: TimeSource.WithComparableMarks,
+    private val metrics: NodeMetrics,
+    private val drain: Drain,
+    private val scope: CoroutineScope,
+    private val settings: () -> SettingsState,
+    private val usable: (InstanceId) -> Boolean,
+    private val members: () -> Collection<Member>,
+    private val onFailure: (InstanceId, HopFailure) -> Unit,
+    private val ready: () -> Boolean
+) {
+    private val acquirer = DispatchAcquirer(router, usable)
+    private val completions = CompletionHandler(completionExecutor(), settings, clock, metrics, scope)
+    private val services = ServiceHandler(serviceExecutor(), settings, clock, metrics)
+    private val entries = EntriesHandler(members, settings, ::rank, config.keepSeconds)
+
+    fun register(routes: RoutesConfig) = with(routes) {
+        get("/v1/entries", entries::handle)
+        post("/v1/chat/completions") { admitted(it, completions::handle) }
+        val service = "/services/{service}/<path>"
+        get(service) { admitted(it, services::handle) }
+        post(service) { admitted(it, services::handle) }
+        put(service) { admitted(it, services::handle) }
+        patch(service) { admitted(it, services::handle) }
+        delete(service) { admitted(it, services::handle) }
+        get("/metrics") { it.contentType(METRICS_TYPE).result(metrics.text()) }
+        get("/health") { it.result("ok") }
+        get("/ready") { it.status(if (ready()) STATUS_OK else STATUS_UNAVAILABLE) }
+    }
+
+    /** Refuses the request once the drain no longer accepts any. */
+    private fun admitted(ctx: Context, handler: (Context) -> Unit) {
+        if (!drain.accepting) {
+            val failure = Failure(ErrorKind.LEAVING, "this node is shutting down, use another entry")
+            metrics.ended(failure.kind)
+            throw FailureException(failure)
+        }
+        handler(ctx)
+    }
+
+    private fun completionExecutor() = CompletionExecutor(
+        router = router,
+        acquirer = acquirer,
+        runner = runner(),
+        clock = clock,
+        metrics = metrics,
+        onFailure = onFailure,
+        onPriority = ::setPriority
+    )
+
+    private fun serviceExecutor() = ServiceExecutor(
+        router = router,
+        acquirer = acquirer,
+        client = backends.services,
+        records = records,
+        clock = clock,
+        metrics = metrics,
+        onFailure = onFailure
+    )
+
+    private fun runner(): ChainRunner = when (config.chainMode) {
+        ChainMode.ENGINE_FORWARDED -> backends.engineForwarded
+        ChainMode.NODE_DRIVEN -> backends.nodeDriven
+    }
+
+    private fun setPriority(work: ChainWork, priority: Int) {
+        scope.launch {
+            work.hops.forEach { hop ->
+                backends.control.setPriority(hop.address, work.request, work.attempt, priority)
+            }
+        }
+    }
+
+    private fun rank(key: String, ids: Collection<InstanceId>): List<InstanceId> =
+        Rendezvous.rank(key, ids.map { it.value }).map { InstanceId(it) }
+
+    private companion object {
+        const val METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+        const val STATUS_OK = 200
+        const val STATUS_UNAVAILABLE = 503
+    }
+}
--- a/node/src/main/kotlin/org/bramleytrestle/node/http/HttpListener.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/HttpListener.kt
@@ -4,23 +4,35 @@
 import io.javalin.Javalin
 import io.javalin.config.RoutesConfig
 import io.javalin.http.HttpResponseException
+import jakarta.servlet.DispatcherType
+import java.util.EnumSet
+import org.eclipse.jetty.util.thread.QueuedThreadPool
 import org.bramleytrestle.model.ErrorKind
 import org.bramleytrestle.model.Failure
 import org.bramleytrestle.node.config.Listen
 
 private val log = KotlinLogging.logger {}
 
-/** One HTTP listener whose errors are all problem documents. */
+/**
+ * One HTTP listener whose errors are all problem documents.
+ *
+ * @param around runs each exchange until its answer is written.
+ */
 internal class HttpListener(
     private val listen: Listen,
     maxBodyBytes: Long,
+    around: (exchange: () -> Unit) -> Unit = { it() },
     routes: RoutesConfig.() -> Unit
 ) {
     private val app = Javalin.create { config ->
         config.startup.showJavalinBanner = false
         config.http.maxRequestSize = maxBodyBytes
         config.jetty.modifyHttpConfiguration { it.requestHeaderSize = MAX_HEADER_BYTES }
-        config.jetty.threadPool = org.eclipse.jetty.util.thread.QueuedThreadPool(MAX_THREADS)
+        config.jetty.modifyServletContextHandler {
+            val filter = AroundFilter(around)
+            it.addFilter(filter, "/*", EnumSet.of(DispatcherType.REQUEST))
+        }
+        config.jetty.threadPool = QueuedThreadPool(MAX_THREADS)
         config.routes.apply(routes)
         config.routes.exception(FailureException::class.java) { e, ctx ->
             Problem.answer(ctx, e.failure)
--- a/node/src/main/kotlin/org/bramleytrestle/node/http/NodeStatus.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/NodeStatus.kt
@@ -10,7 +10,6 @@
     val phase: String,
     val requestsInFlight: Int,
     val invariantViolations: Long,
-    val platformReachable: Boolean,
     val members: List<MemberStatus>,
     val servers: List<ServerStatus>
 )
--- a/node/src/main/kotlin/org/bramleytrestle/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/metrics/NodeMetrics.kt
@@ -1,7 +1,6 @@
 package org.bramleytrestle.node.metrics
 
 import io.prometheus.metrics.core.metrics.Counter
-import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
@@ -43,10 +42,6 @@
         .help("Violations of what must always hold; expected 0.")
         .labelNames("invariant").register(registry)
 
-    private val inFlight = Gauge.builder()
-        .name("bramleytrestle_requests_in_flight")
-        .help("Requests in this node now.").register(registry)
-
     fun ended(outcome: String) = requests.labelValues(outcome).inc()
 
     fun ended(kind: ErrorKind) = ended(kind.wireName)
@@ -61,8 +56,6 @@
 
     fun violation(name: String) = violations.labelValues(name).inc()
 
-    fun inFlight(count: Int) = inFlight.set(count.toDouble())
-
     /** Total of violations of all invariants. */
     fun violations(): Double = violations.collect().dataPoints.sumOf { it.value }
 
