--- /dev/null
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/HttpEngineControl.kt
@@ -0,0 +1,89 @@
+package org.bramleytrestle.backend
+
+import com.github.michaelbull.result.Result
+import java.io.IOException
+import kotlin.time.Duration
+import okhttp3.Request
+import org.bramleytrestle.model.LoadReport
+import org.bramleytrestle.model.RequestId
+
+/** [EngineControl] over the engine protocol. */
+internal class HttpEngineControl(
+    private val pools: HttpPools,
+    private val options: BackendOptions
+) : EngineControl {
+    private val engines = EngineCalls(pools, options)
+
+    override suspend fun report(address: String): Result<LoadReport, HopFailure> =
+        engines.report(address)
+
+    override suspend fun cacheEvents(
+        address: String,
+        after: Long
+    ): Result<List<CacheEvent>, HopFailure> {
+        val url = engines.url(address, "/v1/cache-events?after=$after")
+        return engines.get(pools.client(address), url, options.inactivityBound) { text ->
+            WireJson.decodeFromString<CacheEventsMessage>(text).events
+                .map { CacheEvent(it.sequence, it.prefixHash, it.stored) }
+        }
+    }
+
+    override suspend fun order(address: String, order: EngineOrder, bound: Duration): OrderOutcome {
+        val message = OrderMessage(
+            orderId = order.orderId,
+            fencingNumber = order.fencingNumber,
+            action = order.action.wireName,
+            model = order.model.value,
+            version = order.version,
+            adapter = order.adapter,
+            layers = order.layers
+        )
+        val body = OneShotBody(WireJson.encodeToString(message).toByteArray(), JsonType)
+        val request = Request.Builder().url(engines.url(address, "/v1/orders")).post(body).build()
+        return send(address, request, bound) { status, text ->
+            when {
+                status in SUCCESS -> OrderOutcome.ACCEPTED
+                status == CONFLICT && STALE in text -> OrderOutcome.STALE_FENCING_NUMBER
+                else -> OrderOutcome.UNKNOWN
+            }
+        } ?: OrderOutcome.UNKNOWN
+    }
+
+    override suspend fun cancel(address: String, request: RequestId, attempt: Int) {
+        val url = engines.cancelUrl(address, request.value, attempt)
+        val delete = Request.Builder().url(url).delete().build()
+        send(address, delete, options.inactivityBound) { _, _ -> }
+    }
+
+    override suspend fun setPriority(
+        address: String,
+        request: RequestId,
+        attempt: Int,
+        priority: Int
+    ) {
+        val url = engines.requestUrl(address, request.value, attempt)
+            .addPathSegment("priority")
+            .addQueryParameter("value", priority.toString())
+            .build()
+        val put = Request.Builder().url(url).put(OneShotBody(ByteArray(0), null)).build()
+        send(address, put, options.inactivityBound) { _, _ -> }
+    }
+
+    private suspend fun <T> send(
+        address: String,
+        request: Request,
+        bound: Duration,
+        read: (status: Int, body: String) -> T
+    ): T? = try {
+        with(engines) { pools.client(address).bounded(bound) }.newCall(request)
+            .await { read(it.code, it.body.string()) }
+    } catch (e: IOException) {
+        if (e.isTimeout()) pools.evict(address)
+        null
+    }
+
+    private companion object {
+        val SUCCESS = 200..299
+        const val STALE = "staleFencingNumber"
+    }
+}
--- /dev/null
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/HttpServiceClient.kt
@@ -0,0 +1,108 @@
+package org.bramleytrestle.backend
+
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.TimeSource
+import kotlin.time.toJavaDuration
+import okhttp3.MediaType.Companion.toMediaTypeOrNull
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.Response
+
+/**
+ * Calls plain services over HTTP. A call that may not be repeated is sent once: the clients of
+ * [HttpPools] repeat nothing, and the body is one-shot.
+ */
+internal class HttpServiceClient(
+    private val pools: HttpPools,
+    private val options: BackendOptions,
+    private val clock: TimeSource = TimeSource.Monotonic
+) : ServiceClient {
+    override suspend fun call(call: ServiceCall): ServiceOutcome {
+        val started = clock.markNow()
+        val outcome = send(call, pools.client(call.address), firstBound(call))
+        val failure = (outcome as? ServiceOutcome.Unknown)?.failure
+        val repeats = call.mayRepeat && failure in REPEATED
+        val remaining = call.timeout - started.elapsedNow()
+        if (!repeats || !remaining.isPositive()) return outcome
+        return send(call, pools.freshClient(), remaining)
+    }
+
+    /** A call that may be repeated leaves time for a second one on a new connection. */
+    private fun firstBound(call: ServiceCall): Duration =
+        if (call.mayRepeat) minOf(call.timeout, options.inactivityBound) else call.timeout
+
+    private suspend fun send(
+        call: ServiceCall,
+        client: OkHttpClient,
+        bound: Duration
+    ): ServiceOutcome {
+        val record = SendRecord()
+        val bounded = client.newBuilder()
+            .callTimeout(bound.toJavaDuration())
+            .readTimeout(bound.toJavaDuration())
+            .build()
+        return try {
+            bounded.newCall(request(call, record)).await { read(call, it) }
+        } catch (e: IOException) {
+            val failure = record.failureOf(e)
+            when {
+                failure.notRun -> ServiceOutcome.NotRun(failure)
+
+                e.isTimeout() -> {
+                    pools.evict(call.address)
+                    ServiceOutcome.Unknown(HopFailure.SILENT)
+                }
+
+                else -> ServiceOutcome.Unknown(failure)
+            }
+        }
+    }
+
+    private fun request(call: ServiceCall, record: SendRecord): Request {
+        val builder = Request.Builder()
+            .url(call.address + call.path)
+            .tag(SendRecord::class.java, record)
+        val dropped = HopByHop.names(call.headers)
+        call.headers.filter { (name, _) -> name.lowercase() !in dropped }
+            .forEach { (name, value) -> builder.header(name, value) }
+        builder.header(REQUEST_ID, call.request.value)
+        val type = call.headers.entries
+            .firstOrNull { it.key.equals("Content-Type", ignoreCase = true) }
+            ?.value?.toMediaTypeOrNull()
+        val bytes = call.body ?: ByteArray(0).takeIf { call.method in BODY_METHODS }
+        return builder.method(call.method, bytes?.let { OneShotBody(it, type) }).build()
+    }
+
+    private fun read(call: ServiceCall, response: Response): ServiceOutcome {
+        val echoed = response.header(REQUEST_ID)
+        if (echoed != null && echoed != call.request.value) {
+            pools.evict(call.address)
+            return ServiceOutcome.Unknown(HopFailure.MISMATCH)
+        }
+        val source = response.body.source()
+        if (source.request(options.maxBodyBytes + 1)) {
+            return ServiceOutcome.Unknown(HopFailure.ENGINE_ERROR)
+        }
+        val body = source.readByteArray()
+        val stated = statedFailure(response.code, body.decodeToString())
+        if (stated == HopFailure.LEAVING || stated == HopFailure.FULL) {
+            return ServiceOutcome.NotRun(stated)
+        }
+        val headers = response.headers.associate { (name, value) ->
+            RetryAfterGuard.originalName(name) to value
+        }
+        val dropped = HopByHop.names(headers)
+        return ServiceOutcome.Answer(
+            response.code,
+            headers.filterKeys { it.lowercase() !in dropped },
+            body
+        )
+    }
+
+    private companion object {
+        const val REQUEST_ID = "X-Request-Id"
+        val BODY_METHODS = setOf("POST", "PUT", "PATCH")
+        val REPEATED = setOf(HopFailure.BROKEN, HopFailure.SILENT)
+    }
+}
--- /dev/null
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/SendRecord.kt
@@ -0,0 +1,25 @@
+package org.bramleytrestle.backend
+
+import java.net.SocketTimeoutException
+import java.util.concurrent.atomic.AtomicInteger
+import okhttp3.Call
+import okhttp3.EventListener
+
+/** Records whether bytes of one call may have been written, which decides if it can have run. */
+internal class SendRecord : EventListener() {
+    private val starts = AtomicInteger()
+
+    /** How often the request was started on a connection. */
+    val sends: Int get() = starts.get()
+
+    override fun requestHeadersStart(call: Call) {
+        starts.incrementAndGet()
+    }
+
+    /** Kind of the failure [cause] of this call. */
+    fun failureOf(cause: Throwable): HopFailure = when {
+        sends == 0 -> HopFailure.UNREACHABLE
+        cause is SocketTimeoutException -> HopFailure.SILENT
+        else -> HopFailure.BROKEN
+    }
+}
