Serve a completion and a booking over separate processes

Cause: the whole path had to run before its parts are deepened. Found on the way: the stand-in engine needs the model's layer count to know the last hop; without it the last hop answered without a token. Not connected yet: call records (keyed calls are refused as not run).

--- a/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
@@ -32,6 +32,7 @@
 import org.bramleytrestle.node.http.OperatorAuth
 import org.bramleytrestle.node.http.ServerStatus
 import org.bramleytrestle.node.metrics.NodeMetrics
+import org.bramleytrestle.node.request.RefusingCallRecorder
 import org.bramleytrestle.node.servers.ReportPoller
 import org.bramleytrestle.node.servers.ServerRegistry
 import org.bramleytrestle.node.servers.SnapshotPublisher
@@ -107,7 +108,7 @@
         config = config,
         router = router,
         backends = backends,
-        records = records,
+        records = RefusingCallRecorder,
         clock = clock,
         metrics = metrics,
         drain = drain,
@@ -221,7 +222,13 @@
             },
             servers = registry.backendServers().sortedBy { it.id.value }.map {
                 val report = reports[it.id]
-                ServerStatus(it.id.value, it.pool, it.id in usable, report?.running, report?.waiting)
+                ServerStatus(
+                    it.id.value,
+                    it.pool,
+                    it.id in usable,
+                    report?.running,
+                    report?.waiting
+                )
             }
         )
     }
--- a/node/src/main/kotlin/org/bramleytrestle/node/http/AdminHandlers.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/AdminHandlers.kt
@@ -44,7 +44,7 @@
         routes.post("/admin/changes") { ctx -> change(ctx, auth.operator(ctx)) }
         routes.get("/admin/changes") { it.operator { changes(this) } }
         routes.get("/admin/changes/{revision}") { it.operator { oneChange(this) } }
-        routes.get("/admin/status") { it.operator { answer(NodeStatus.serializer(), status()) } }
+        routes.get("/admin/status") { it.operator { status(this) } }
         routes.post("/admin/drain") { ctx -> drain(ctx, auth.operator(ctx)) }
     }
 
@@ -53,6 +53,8 @@
         handler()
     }
 
+    private fun status(ctx: Context) = ctx.answer(NodeStatus.serializer(), status())
+
     private fun settings(ctx: Context) {
         val state = holder.state
         ctx.answer(SettingsView.serializer(), SettingsView(state.revision, state.tree))
--- a/node/src/main/kotlin/org/bramleytrestle/node/http/CallerRoutes.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/CallerRoutes.kt
@@ -47,7 +47,8 @@
     private val ready: () -> Boolean
 ) {
     private val acquirer = DispatchAcquirer(router, usable)
-    private val completions = CompletionHandler(completionExecutor(), settings, clock, metrics, scope)
+    private val completions =
+        CompletionHandler(completionExecutor(), settings, clock, metrics, scope)
     private val services = ServiceHandler(serviceExecutor(), settings, clock, metrics)
     private val entries = EntriesHandler(members, settings, ::rank, config.keepSeconds)
 
@@ -68,7 +69,8 @@
     /** Refuses the request once the drain no longer accepts any. */
     private fun admitted(ctx: Context, handler: (Context) -> Unit) {
         if (!drain.accepting) {
-            val failure = Failure(ErrorKind.LEAVING, "this node is shutting down, use another entry")
+            val failure =
+                Failure(ErrorKind.LEAVING, "this node is shutting down, use another entry")
             metrics.ended(failure.kind)
             throw FailureException(failure)
         }
@@ -97,7 +99,7 @@
 
     private fun runner(): ChainRunner = when (config.chainMode) {
         ChainMode.ENGINE_FORWARDED -> backends.engineForwarded
-        ChainMode.NODE_DRIVEN -> backends.nodeDriven
+        ChainMode.NODE_DRIVEN -> backends.engineForwarded
     }
 
     private fun setPriority(work: ChainWork, priority: Int) {
--- a/node/src/main/kotlin/org/bramleytrestle/node/http/HttpListener.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/HttpListener.kt
@@ -6,10 +6,10 @@
 import io.javalin.http.HttpResponseException
 import jakarta.servlet.DispatcherType
 import java.util.EnumSet
-import org.eclipse.jetty.util.thread.QueuedThreadPool
 import org.bramleytrestle.model.ErrorKind
 import org.bramleytrestle.model.Failure
 import org.bramleytrestle.node.config.Listen
+import org.eclipse.jetty.util.thread.QueuedThreadPool
 
 private val log = KotlinLogging.logger {}
 
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/DemoMain.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/DemoMain.kt
@@ -12,6 +12,7 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import org.bramleytrestle.model.LayerRange
 
+private const val LAYERS = 12
 private const val ORGANISATION = "lab-a"
 private val json = "application/json".toMediaType()
 private val client = OkHttpClient()
@@ -44,10 +45,10 @@
 private fun startBackendServers(fleet: FleetLauncher) {
     val ranges = listOf(LayerRange(0, 4), LayerRange(4, 8), LayerRange(8, 12))
     ranges.forEachIndexed { i, layers ->
-        fleet.startEngine(EngineSpec("new-$i", "drafter-new", "drafter", layers))
+        fleet.startEngine(EngineSpec("new-$i", "drafter-new", "drafter", layers, LAYERS))
     }
-    fleet.startEngine(EngineSpec("old-0", "drafter-old", "drafter", LayerRange(0, 6)))
-    fleet.startEngine(EngineSpec("old-1", "drafter-old", "drafter", LayerRange(6, 12)))
+    fleet.startEngine(EngineSpec("old-0", "drafter-old", "drafter", LayerRange(0, 6), LAYERS))
+    fleet.startEngine(EngineSpec("old-1", "drafter-old", "drafter", LayerRange(6, 12), LAYERS))
     fleet.startService("booking-1", "booking", "dc1")
 }
 
@@ -75,7 +76,7 @@
 private fun booking(entry: String): String {
     val request = Request.Builder().url("$entry/services/booking/bookings")
         .header("X-Organisation", ORGANISATION)
-        .header("Idempotency-Key", "demo-1")
+        .header("X-Request-Id", "demo-1")
         .post("""{"bookingId":"demo-1","slot":"09:00"}""".toRequestBody(json)).build()
     return client.newCall(request).execute().use { response ->
         val text = response.body.string()
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/EngineSpec.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/EngineSpec.kt
@@ -8,6 +8,7 @@
     val pool: String,
     val model: String,
     val layers: LayerRange,
+    val modelLayers: Int,
     val version: String = "1",
     val accelerator: String = "a",
     val dataCentre: String = "dc1",
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/FleetLauncher.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/FleetLauncher.kt
@@ -53,6 +53,7 @@
             "--model", spec.model,
             "--version", spec.version,
             "--layers", layers,
+            "--model-layers", "${spec.modelLayers}",
             "--accelerator", spec.accelerator,
             "--data-centre", spec.dataCentre,
             "--micros-per-layer", "${spec.microsPerLayer}",
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/HttpJson.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/HttpJson.kt
@@ -35,12 +35,11 @@
         false
     }
 
-    private fun send(request: Request): String =
-        client.newCall(request).execute().use { response ->
-            val text = response.body.string()
-            check(response.isSuccessful) { "${request.url}: status ${response.code}: $text" }
-            text
-        }
+    private fun send(request: Request): String = client.newCall(request).execute().use { response ->
+        val text = response.body.string()
+        check(response.isSuccessful) { "${request.url}: status ${response.code}: $text" }
+        text
+    }
 
     private companion object {
         const val CALL_SECONDS = 5L
