--- a/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/FleetLauncher.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/FleetLauncher.kt
@@ -4,6 +4,7 @@
 import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -23,11 +24,11 @@
  * @property home directory of the repository.
  * @property work directory for settings files and logs.
  */
-internal class FleetLauncher(private val home: Path, private val work: Path) : AutoCloseable {
+internal class FleetLauncher(val home: Path, private val work: Path) : AutoCloseable {
     val http = HttpJson()
     private val processes = CopyOnWriteArrayList<FleetProcess>()
-    private val instances = mutableMapOf<String, Instance>()
-    private val nodePorts = mutableMapOf<String, NodePorts>()
+    private val instances = ConcurrentHashMap<String, Instance>()
+    private val nodePorts = ConcurrentHashMap<String, NodePorts>()
     lateinit var platform: String
         private set
 
@@ -135,6 +136,8 @@
 
     fun address(instance: String): String = instances.getValue(instance).address
 
+    fun instance(id: InstanceId): Instance = instances.getValue(id.value)
+
     fun register(instance: Instance) {
         instances[instance.id.value] = instance
         val body = Json.encodeToString(Instance.serializer(), instance)
