Replace the router by fair queues, early refusal and adaptive limits

Cause: one queue that is rescanned on each event blocks other models, starves nothing fairly and answers late under overload.

Change: one scheduler with one lock per target (model or service, and side). Start-time fair queueing in tokens between organisations; earliest deadline first inside, with a patience of 2 s, because strict order by deadline kept a 200-token request waiting 18.6 s under short overload. Short and long classes with a reserve per server; demotion; adaptive limit per server; admission by measured hold time and plan cost; limits of organisations with grants; retry and recovery budgets; a FIFO baseline. An event costs a few planner calls plus logarithmic time per started entry; it never looks at the whole queue. Work gets `mayHaveRun` with a default: without it a refused later attempt would claim that nothing was run although an earlier attempt may have run.

--- a/routing/src/main/kotlin/org/bramleytrestle/routing/DefaultRequestRouter.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/DefaultRequestRouter.kt
@@ -1,133 +1,158 @@
 package org.bramleytrestle.routing
 
-import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.onSuccess
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicBoolean
-import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.withTimeoutOrNull
 import org.bramleytrestle.model.ErrorKind
 import org.bramleytrestle.model.Failure
-import org.bramleytrestle.model.InstanceId
-import org.bramleytrestle.model.RepeatPolicy
+import org.bramleytrestle.model.OrganisationId
+import org.bramleytrestle.model.ServiceName
 import org.bramleytrestle.model.Side
-import org.bramleytrestle.model.StageHop
 import org.bramleytrestle.settings.EffectiveSettings
 
-/** Starts work where there is room and queues the rest until its deadline. */
+/**
+ * Router with fair queues, early refusal, adaptive concurrency and bounded retries.
+ *
+ * The policy follows from the settings. For throughput and recovery: long `deadlineMillis`, high
+ * `maxAttempts` and `retryBudget`, low `shortReserve`. For demand peaks and short waits: short
+ * `deadlineMillis`, which keeps the queue short, high `shortReserve`, low `retryBudget`.
+ *
+ * @param limiter limits of organisations; without one they are not limited.
+ * @param scope runs the timers of work that waits for its organisation's limit.
+ * @param maxQueued most entries in the queue of one model or service on one side; one
+ *   organisation may fill half of it.
+ */
 @OptIn(ExperimentalCoroutinesApi::class)
 public class DefaultRequestRouter(
     private val planner: ChainPlanner,
     private val clock: TimeSource.WithComparableMarks,
-    private val random: Random,
-    private val split: (Work, EffectiveSettings) -> Side = ::splitByHash
+    random: Random,
+    private val split: (Work, EffectiveSettings) -> Side = ::splitByHash,
+    private val limiter: OrganisationLimiter? = null,
+    private val scope: CoroutineScope = CoroutineScope(SupervisorJob() + Dispatchers.Default),
+    private val maxQueued: Int = MAX_QUEUED
 ) : RequestRouter {
-    private val inFlight = ConcurrentHashMap<InstanceId, AtomicInteger>()
-    private val queue = LinkedHashSet<Entry>()
-
-    private class Entry(val work: Work, val side: Side) {
-        val result = CompletableDeferred<Dispatch>()
+    private val limits = ServerLimits(planner)
+    private val targets = ConcurrentHashMap<Target, TargetScheduler>()
+    private val services = ConcurrentHashMap<Pair<OrganisationId, ServiceName>, ServiceState>()
+    private val retries = RetryPolicy(planner, clock, random)
+    private val sequence = AtomicLong()
+
+    private class ServiceState(clock: TimeSource.WithComparableMarks) {
+        val history = ServiceHistory()
+        val budget = RetryBudget(clock)
     }
 
     override suspend fun acquire(work: Work): Result<Dispatch, Failure> {
         val settings = planner.snapshot.settings.effective(work.organisation, work.service)
-        val entry = Entry(work, work.side ?: split(work, settings))
-        if (!planner.exists(query(entry))) {
-            return Err(Failure(ErrorKind.NO_ROUTE, "no chain for ${work.service}", 1))
+        val model = work.model?.value
+        if (model != null && settings.models.isNotEmpty() && model !in settings.models) {
+            val detail = "model $model: expected one of ${settings.models}"
+            return work.refusal(ErrorKind.MODEL_NOT_ALLOWED, detail)
         }
-        synchronized(queue) { queue.add(entry) }
-        onSnapshot()
-        val left = work.deadline - clock.markNow()
-        val dispatch = try {
-            withTimeoutOrNull(left) { entry.result.await() }
-        } catch (e: CancellationException) {
-            if (!leave(entry)) entry.result.getCompleted().finish(AttemptOutcome.Cancelled)
-            throw e
+        if (work.deadline.hasPassedNow()) {
+            return work.refusal(ErrorKind.DEADLINE_NOT_RUN, "the deadline has passed on arrival")
         }
-        if (dispatch != null || !leave(entry)) return Ok(dispatch ?: entry.result.await())
-        return Err(Failure(ErrorKind.DEADLINE_NOT_RUN, "deadline passed in the queue", 1))
+        val side = side(work, settings)
+            ?: return work.refusal(ErrorKind.NO_ROUTE, "no server for ${model ?: work.service}")
+        val service = service(work)
+        if (work.attempt == 1) service.budget.countFirst()
+        val entry = QueuedWork(
+            work,
+            settings,
+            side,
+            service.history.estimate(work, settings),
+            service.history,
+            sequence.incrementAndGet(),
+            clock.markNow()
+        )
+        val scheduler = scheduler(Target.of(work, side))
+        return scheduler.submit(entry) ?: await(entry, scheduler)
     }
 
-    private fun leave(entry: Entry) = synchronized(queue) { queue.remove(entry) }
+    /**
+     * Decides by the newest settings and snapshot. [work] must state all tokens emitted so far,
+     * because the resumption of a stream is not held to the retry budget of new work.
+     */
+    override fun retry(work: Work, failed: FailedAttempt): RetryDecision {
+        val running = targets[Target.of(work, failed.side)]?.running ?: 0
+        return retries.decide(work, failed, service(work).budget, running)
+    }
 
     /** Reconsiders queued work after the planner published a snapshot. */
-    public fun onSnapshot(): Unit = synchronized(queue) {
-        val entries = queue.iterator()
-        while (entries.hasNext()) {
-            val entry = entries.next()
-            val plan = planner.choose(query(entry)) ?: continue
-            entries.remove()
-            plan.hops.forEach { count(it.instance).incrementAndGet() }
-            entry.result.complete(Slots(plan.hops, entry.side))
-        }
+    public fun onSnapshot() {
+        limits.onSnapshot()
+        targets.values.forEach { it.onChange() }
     }
 
-    override fun retry(work: Work, failed: FailedAttempt): RetryDecision {
-        val safe = failed.notRun || work.model != null || failed.policy != RepeatPolicy.NEVER
-        val settings = planner.snapshot.settings.effective(work.organisation, work.service)
-        return when {
-            !safe -> RetryDecision.GiveUp(ErrorKind.OUTCOME_UNKNOWN)
-
-            work.deadline.hasPassedNow() -> RetryDecision.GiveUp(ErrorKind.DEADLINE_EXCEEDED)
+    /** Reconsiders queued work after the limiter received a grant for [organisation]. */
+    public fun onGrant(organisation: OrganisationId): Unit =
+        targets.values.forEach { it.onGrant(organisation) }
 
-            work.attempt >= settings.maxAttempts -> RetryDecision.GiveUp(ErrorKind.BACKEND_FAILED)
+    private suspend fun await(
+        entry: QueuedWork,
+        scheduler: TargetScheduler
+    ): Result<Dispatch, Failure> {
+        val left = entry.work.deadline - clock.markNow()
+        val result = try {
+            withTimeoutOrNull(left) { entry.result.await() }
+        } catch (e: CancellationException) {
+            if (!scheduler.leave(entry)) {
+                entry.result.getCompleted().onSuccess { it.finish(AttemptOutcome.Cancelled) }
+            }
+            throw e
+        }
+        return when {
+            result != null -> result
 
-            else -> RetryDecision.Again(
-                work.copy(
-                    attempt = work.attempt + 1,
-                    excluded = work.excluded + failed.instance,
-                    side = failed.side
-                ),
-                random.nextInt(MAX_BACKOFF_MILLIS).milliseconds
+            scheduler.leave(entry) -> entry.work.refusal(
+                ErrorKind.DEADLINE_NOT_RUN,
+                "the deadline of work for ${entry.work.service} passed in the queue"
             )
+
+            else -> entry.result.await()
         }
     }
 
-    private fun count(instance: InstanceId) = inFlight.computeIfAbsent(instance) { AtomicInteger() }
-
-    private fun query(entry: Entry) = ChainQuery(
-        entry.work.model,
-        entry.work.service,
-        entry.side,
-        entry.work.promptTokens,
-        entry.work.maxTokens,
-        entry.work.prefixHash,
-        entry.work.excluded,
-        { count(it).get() < (planner.snapshot.reports[it]?.slots ?: 1) },
-        { count(it).get() }
-    )
-
-    private inner class Slots(override val hops: List<StageHop>, override val side: Side) :
-        Dispatch {
-        private val finished = AtomicBoolean()
-        override val priority: Int get() = 0
-
-        override fun tokens(count: Int): Int? = null
-
-        override fun finish(outcome: AttemptOutcome) {
-            if (!finished.compareAndSet(false, true)) return
-            hops.forEach { count(it.instance).decrementAndGet() }
-            onSnapshot()
-        }
+    /**
+     * The side to run on, or null if no chain exists. A first attempt may use the other side
+     * because nothing was run, unless a share of 0 or 1 keeps all work on one side.
+     */
+    private fun side(work: Work, settings: EffectiveSettings): Side? {
+        val chosen = work.side ?: split(work, settings)
+        val fixed = work.side != null || settings.newShare <= 0.0 || settings.newShare >= 1.0
+        val sides = if (fixed) listOf(chosen) else listOf(chosen, chosen.other())
+        return sides.firstOrNull { planner.exists(work.query(it, work.maxTokens)) }
+    }
+
+    private fun service(work: Work) =
+        services.computeIfAbsent(work.organisation to work.service) { ServiceState(clock) }
+
+    private fun scheduler(target: Target) = targets.computeIfAbsent(target) {
+        TargetScheduler(planner, clock, limits, limiter, scope, maxQueued)
     }
 
-    private companion object {
-        const val MAX_BACKOFF_MILLIS = 50
+    public companion object {
+        /** Bounds the memory of waiting requests; refusal by deadline usually acts long before. */
+        public const val MAX_QUEUED: Int = 2_000
     }
 }
 
 /** Splits by a hash of organisation, service and caller key. */
 internal fun splitByHash(work: Work, settings: EffectiveSettings): Side {
     val key = "${work.organisation}/${work.service}/${work.sideKey}".hashCode()
-    val point = (key * GOLDEN).ushr(1).toDouble() / Int.MAX_VALUE
+    val point = (key * GOLDEN_RATIO).toUInt().toDouble() / UInt.MAX_VALUE.toDouble()
     return if (point < settings.newShare) Side.NEW else Side.OLD
 }
 
-private const val GOLDEN = -1640531527
+/** 2^32 divided by the golden ratio; spreads neighbouring hash values. */
+private const val GOLDEN_RATIO = -1640531527
--- /dev/null
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/OrganisationDemand.kt
@@ -0,0 +1,11 @@
+package org.bramleytrestle.routing
+
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.OrganisationId
+
+/** Tokens per second that the sender could use; [to] is the granter of the organisation. */
+public data class OrganisationDemand(
+    val to: InstanceId,
+    val organisation: OrganisationId,
+    val tokensPerSecond: Double
+)
--- /dev/null
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/Refusal.kt
@@ -0,0 +1,40 @@
+package org.bramleytrestle.routing
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+import org.bramleytrestle.model.ErrorKind
+import org.bramleytrestle.model.Executed
+import org.bramleytrestle.model.Failure
+
+/**
+ * The answer that refuses this work with [kind]. When an earlier attempt may have run, the kind
+ * becomes one that does not deny it.
+ */
+internal fun Work.refusal(
+    kind: ErrorKind,
+    detail: String,
+    retryAfter: Duration = 1.seconds
+): Result<Nothing, Failure> {
+    val honest = honestKind(kind)
+    val seconds = kotlin.math.ceil(retryAfter.toDouble(DurationUnit.SECONDS)).toInt()
+    return Err(
+        Failure(
+            honest,
+            "routing: $detail",
+            seconds.coerceAtLeast(1).takeIf {
+                honest.retryable
+            }
+        )
+    )
+}
+
+/** [kind], or what stands for it when an earlier attempt may have run. */
+internal fun Work.honestKind(kind: ErrorKind): ErrorKind = when {
+    kind.executed != Executed.NO || (!mayHaveRun && emittedTokens == 0) -> kind
+    kind == ErrorKind.DEADLINE_NOT_RUN -> ErrorKind.DEADLINE_EXCEEDED
+    model != null -> ErrorKind.BACKEND_FAILED
+    else -> ErrorKind.OUTCOME_UNKNOWN
+}
--- /dev/null
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/Target.kt
@@ -0,0 +1,14 @@
+package org.bramleytrestle.routing
+
+import org.bramleytrestle.model.ModelName
+import org.bramleytrestle.model.ServiceName
+import org.bramleytrestle.model.Side
+
+/** The servers that one kind of work competes for; work of other targets never blocks it. */
+internal data class Target(val model: ModelName?, val service: ServiceName?, val side: Side) {
+    companion object {
+        /** Services that use the same model share its servers. */
+        fun of(work: Work, side: Side): Target =
+            Target(work.model, work.service.takeIf { work.model == null }, side)
+    }
+}
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/Work.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/Work.kt
@@ -15,6 +15,7 @@
  * @property sideKey stable key of the caller for the split between the sides.
  * @property emittedTokens tokens that earlier attempts produced.
  * @property excluded servers that failed earlier attempts.
+ * @property mayHaveRun whether an earlier attempt may have run; a refusal then cannot say `no`.
  * @property side fixed side of a later attempt; null lets the router choose.
  */
 public data class Work(
@@ -30,5 +31,6 @@
     val emittedTokens: Int = 0,
     val excluded: Set<InstanceId> = emptySet(),
     val side: Side? = null,
-    val prefixHash: Long? = null
+    val prefixHash: Long? = null,
+    val mayHaveRun: Boolean = false
 )
