--- a/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
@@ -21,6 +21,8 @@
 import org.bramleytrestle.model.InstanceId
 import org.bramleytrestle.model.InstanceRole
 import org.bramleytrestle.model.Invariants
+import org.bramleytrestle.model.OrganisationId
+import org.bramleytrestle.model.Rendezvous
 import org.bramleytrestle.node.config.NodeConfig
 import org.bramleytrestle.node.drain.Drain
 import org.bramleytrestle.node.drain.DrainPhase
@@ -31,6 +33,7 @@
 import org.bramleytrestle.node.http.NodeStatus
 import org.bramleytrestle.node.http.OperatorAuth
 import org.bramleytrestle.node.http.ServerStatus
+import org.bramleytrestle.node.limits.LimitExchange
 import org.bramleytrestle.node.metrics.NodeMetrics
 import org.bramleytrestle.node.request.RefusingCallRecorder
 import org.bramleytrestle.node.servers.ReportPoller
@@ -44,6 +47,8 @@
 import org.bramleytrestle.platform.InstanceList
 import org.bramleytrestle.routing.DefaultChainPlanner
 import org.bramleytrestle.routing.DefaultRequestRouter
+import org.bramleytrestle.routing.GrantAllocator
+import org.bramleytrestle.routing.OrganisationLimiter
 import org.bramleytrestle.routing.RoutingSnapshot
 import org.bramleytrestle.settings.Change
 
@@ -70,7 +75,24 @@
     private val holder = SettingsHolder(::settingsApplied)
     private val backends = Backends.http()
     private val planner = DefaultChainPlanner(random)
-    private val router = DefaultRequestRouter(planner, clock, random)
+    private val limiter = OrganisationLimiter(id, clock, ::homes)
+    private val allocator = GrantAllocator(id, clock, ::homes)
+    private val router = DefaultRequestRouter(
+        planner = planner,
+        clock = clock,
+        random = random,
+        limiter = limiter,
+        scope = scope,
+        maxQueued = config.queueLimit
+    )
+    private val limits = LimitExchange(
+        self = id,
+        limiter = limiter,
+        allocator = allocator,
+        cluster = { cluster },
+        settings = { holder.state },
+        onGrant = router::onSnapshot
+    )
     private val publisher = SnapshotPublisher(
         planner = planner,
         registry = registry,
@@ -96,8 +118,8 @@
         listener = PeerListener(
             holder = holder,
             registry = registry,
-            demand = { _, _ -> },
-            grants = { _, _ -> },
+            demand = limits::onDemand,
+            grants = { _, grants -> limits.onGrants(grants) },
             onServers = { publisher.request() }
         ),
         scope = scope,
@@ -137,6 +159,7 @@
         scope.launch { instances.instances.collect(::listed) }
         scope.launch { SettingsFollower(holder, changeLog, ::isWatcher).run() }
         scope.launch { publisher.run() }
+        scope.launch { limits.run() }
         scope.launch {
             ReportPoller(backends.control, registry, ::polls, cluster::shareReports).run(scope)
         }
@@ -171,6 +194,9 @@
 
     private fun isWatcher(): Boolean = id in watchers(members(), dataCentre)
 
+    private fun homes(organisation: OrganisationId, nodes: List<InstanceId>): List<InstanceId> =
+        Rendezvous.rank(organisation.value, nodes.map { it.value }).map { InstanceId(it) }
+
     /** Servers of a data centre without live members are polled by members of all others. */
     private fun polls(server: Instance): Boolean {
         val near = reporters(members(), server.dataCentre, server.id)
