--- a/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
@@ -24,6 +24,7 @@
 import org.bramleytrestle.model.OrganisationId
 import org.bramleytrestle.model.Rendezvous
 import org.bramleytrestle.node.config.NodeConfig
+import org.bramleytrestle.node.config.RoutingMode
 import org.bramleytrestle.node.drain.Drain
 import org.bramleytrestle.node.drain.DrainPhase
 import org.bramleytrestle.node.http.AdminHandlers
@@ -47,8 +48,10 @@
 import org.bramleytrestle.platform.InstanceList
 import org.bramleytrestle.routing.DefaultChainPlanner
 import org.bramleytrestle.routing.DefaultRequestRouter
+import org.bramleytrestle.routing.FifoRequestRouter
 import org.bramleytrestle.routing.GrantAllocator
 import org.bramleytrestle.routing.OrganisationLimiter
+import org.bramleytrestle.routing.RequestRouter
 import org.bramleytrestle.routing.RoutingSnapshot
 import org.bramleytrestle.settings.Change
 
@@ -77,21 +80,14 @@
     private val planner = DefaultChainPlanner(random)
     private val limiter = OrganisationLimiter(id, clock, ::homes)
     private val allocator = GrantAllocator(id, clock, ::homes)
-    private val router = DefaultRequestRouter(
-        planner = planner,
-        clock = clock,
-        random = random,
-        limiter = limiter,
-        scope = scope,
-        maxQueued = config.queueLimit
-    )
+    private val router: RequestRouter = router(random)
     private val limits = LimitExchange(
         self = id,
         limiter = limiter,
         allocator = allocator,
         cluster = { cluster },
         settings = { holder.state },
-        onGrant = router::onSnapshot
+        onGrant = ::reconsider
     )
     private val publisher = SnapshotPublisher(
         planner = planner,
@@ -104,7 +100,7 @@
             linkMicros = config.linkMicros,
             dataCentre = config.dataCentre
         ),
-        onPublished = router::onSnapshot
+        onPublished = ::reconsider
     )
     private val cluster: Cluster = Clusters.tcp(
         settings = ClusterSettings(
@@ -148,6 +144,25 @@
     private val operatorListener =
         HttpListener(config.operators, MAX_OPERATOR_BODY_BYTES) { admin().register(this) }
 
+    private fun router(random: Random): RequestRouter = when (config.routing) {
+        RoutingMode.STANDARD -> DefaultRequestRouter(
+            planner = planner,
+            clock = clock,
+            random = random,
+            limiter = limiter,
+            scope = scope,
+            maxQueued = config.queueLimit
+        )
+        RoutingMode.BASELINE -> FifoRequestRouter(planner, clock)
+    }
+
+    /** Queued work may run now. */
+    private fun reconsider() = when (val router = router) {
+        is DefaultRequestRouter -> router.onSnapshot()
+        is FifoRequestRouter -> router.onSnapshot()
+        else -> Unit
+    }
+
     suspend fun start() {
         Invariants.onViolation { name, detail ->
             metrics.violation(name)
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/EngineSpec.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/EngineSpec.kt
@@ -1,6 +1,7 @@
 package org.bramleytrestle.standins.fleet
 
 import org.bramleytrestle.model.LayerRange
+import org.bramleytrestle.standins.engine.EngineConfig
 
 /** A stand-in engine to start; [microsPerLayer] is its time for one layer of one step. */
 internal data class EngineSpec(
@@ -14,4 +15,17 @@
     val dataCentre: String = "dc1",
     val microsPerLayer: Long = 500,
     val slots: Int = 8
-)
+) {
+    fun config(port: Int) = EngineConfig(
+        id = id,
+        port = port,
+        model = model,
+        version = version,
+        layers = layers,
+        modelLayers = modelLayers,
+        accelerator = accelerator,
+        dataCentre = dataCentre,
+        microsPerLayer = microsPerLayer,
+        slots = slots
+    )
+}
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/FleetLauncher.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/FleetLauncher.kt
@@ -62,22 +62,40 @@
         )
         val process = start(spec.id, "bin/standin-engine", *options.toTypedArray())
         awaitAnswer("$address/v1/report")
-        register(
-            Instance(
-                id = InstanceId(spec.id),
-                role = InstanceRole.ENGINE,
-                address = address,
-                dataCentre = DataCentre(spec.dataCentre),
-                pool = spec.pool,
-                model = ModelName(spec.model),
-                version = spec.version,
-                layers = spec.layers,
-                accelerator = spec.accelerator
-            )
-        )
+        registerEngine(spec, address)
         return process
     }
 
+    /** Starts all [specs] in one process, which costs less memory. */
+    fun startEngines(specs: List<EngineSpec>): FleetProcess {
+        val configs = specs.map { it.config(freePort()) }
+        val file = work.resolve("engines.json")
+        Files.writeString(file, Json.encodeToString(configs))
+        val process = start("engines", "bin/standin-engine", "--config", "$file")
+        for ((spec, config) in specs.zip(configs)) {
+            val address = "http://$HOST:${config.port}"
+            awaitAnswer("$address/v1/report")
+            registerEngine(spec, address)
+        }
+        return process
+    }
+
+    fun process(name: String): FleetProcess = processes.last { it.name == name }
+
+    private fun registerEngine(spec: EngineSpec, address: String) = register(
+        Instance(
+            id = InstanceId(spec.id),
+            role = InstanceRole.ENGINE,
+            address = address,
+            dataCentre = DataCentre(spec.dataCentre),
+            pool = spec.pool,
+            model = ModelName(spec.model),
+            version = spec.version,
+            layers = spec.layers,
+            accelerator = spec.accelerator
+        )
+    )
+
     fun startService(id: String, pool: String, dataCentre: String): FleetProcess {
         val port = freePort()
         val address = "http://$HOST:$port"
--- /dev/null
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/measure/MeasureSettings.kt
@@ -0,0 +1,50 @@
+package org.bramleytrestle.standins.measure
+
+import org.bramleytrestle.model.LayerRange
+import org.bramleytrestle.standins.fleet.EngineSpec
+
+internal const val MODEL = "drafter"
+internal const val LAYERS = 12
+
+/** Settings that all measurements share; one side, so that its rates are the bound. */
+internal val MEASURE_SETTINGS = """
+    |models: {$MODEL: {layers: $LAYERS}}
+    |pools: {all: {kind: engine, model: $MODEL, side: new}}
+    |defaults: {newShare: 1.0, maxTokens: 2000, shortTokens: 32, deadlineMillis: 60000}
+""".trimMargin()
+
+/** Two layer ranges, each held by fast and slow engines. */
+internal fun mixedEngines(
+    fastMicros: Long,
+    slowMicros: Long,
+    slots: Int,
+    each: Int = 2
+): List<EngineSpec> {
+    val ranges = listOf(LayerRange(0, LAYERS / 2), LayerRange(LAYERS / 2, LAYERS))
+    val kinds = listOf("fast" to fastMicros, "slow" to slowMicros)
+    return ranges.flatMap { layers ->
+        kinds.flatMap { (kind, micros) ->
+            (1..each).map { i ->
+                EngineSpec(
+                    id = "$kind-${layers.from}-$i",
+                    pool = "all",
+                    model = MODEL,
+                    layers = layers,
+                    modelLayers = LAYERS,
+                    accelerator = kind,
+                    microsPerLayer = micros,
+                    slots = slots
+                )
+            }
+        }
+    }
+}
+
+/** Tokens per second that [engines] can generate: the slowest layer range is the bound. */
+internal fun tokenBound(engines: List<EngineSpec>): Double = engines
+    .groupBy { it.layers }
+    .values.minOf { group ->
+        group.sumOf { it.slots * MICROS_PER_SECOND / (it.microsPerLayer * it.layers.size) }
+    }
+
+private const val MICROS_PER_SECOND = 1e6
