Keep a token that arrives together with the ping timeout

The writer received tokens under a timeout, and a timeout that fires after the channel handed over an element drops the element. Ruled out: engines and joins, since the lifecycle had seen every index. Change: a select decides between token and timeout at once; the writer asserts that it writes consecutive tokens and, for whole answers, all of them.

--- a/node/src/main/kotlin/org/bramleytrestle/node/http/CompletionHandler.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/CompletionHandler.kt
@@ -9,11 +9,11 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.bramleytrestle.model.ErrorKind
 import org.bramleytrestle.model.Failure
+import org.bramleytrestle.model.Invariants
 import org.bramleytrestle.model.ModelName
 import org.bramleytrestle.model.ServiceName
 import org.bramleytrestle.model.TokenEvent
@@ -109,9 +109,16 @@
                 result.await().fold({ writer.done(it.finishReason) }, { writer.failed(it) })
             } else {
                 val text = StringBuilder()
-                for (token in tokens) text.append(token.text)
+                var count = 0
+                for (token in tokens) {
+                    text.append(token.text)
+                    count++
+                }
                 result.await().fold(
                     { end ->
+                        Invariants.check("whole-answer", end.tokens == count) {
+                            "request ${request.id}: $count tokens of ${end.tokens} are written"
+                        }
                         val prompt = request.prompt.split(' ').size
                         val body = answers.whole("$text", end.finishReason, prompt, end.tokens)
                         ctx.contentType("application/json").result(body.toString())
@@ -132,17 +139,20 @@
     /** The event stream of one answer; its status line is sent with the first event. */
     private class EventStream(private val ctx: Context, private val answers: ChatAnswers) {
         private var writer: SseWriter? = null
+        private var written = 0
 
         suspend fun copy(tokens: Channel<TokenEvent>) {
-            while (true) {
-                val next = withTimeoutOrNull(PING_INTERVAL) { tokens.receiveCatching() }
-                when {
-                    // Only a write shows whether the caller is still there.
-                    next == null -> writer?.ping()
-                    next.isClosed -> return
-                    else -> open().data(answers.chunk(next.getOrThrow().text, null).toString())
+            tokens.consumeWithIdle(
+                // Only a write shows whether the caller is still there.
+                idle = PING_INTERVAL,
+                onIdle = { writer?.ping() },
+                onItem = { token ->
+                    Invariants.check("whole-answer", token.index == written++) {
+                        "request ${token.request}: token ${token.index} is written as $written"
+                    }
+                    open().data(answers.chunk(token.text, null).toString())
                 }
-            }
+            )
         }
 
         fun done(finishReason: String) {
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/measure/StreamCaller.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/measure/StreamCaller.kt
@@ -48,6 +48,9 @@
         }
         val expected = ReferenceModel.answer("user: $text", model, VERSION, layers, tokens)
         val correct = expected.joinToString("") { it.text } == reading.text.toString()
+        if (reading.failure == null && !correct) {
+            println("got '${reading.text}', expected '${expected.joinToString("") { it.text }}'")
+        }
         return reading.result(correct)
     }
 
