Record calls that may not be repeated in the platform

Change: keyed calls create a record before they are sent; all calls to the platform go through one budget that is divided by the number of nodes.

--- a/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
@@ -36,16 +36,19 @@
 import org.bramleytrestle.node.http.ServerStatus
 import org.bramleytrestle.node.limits.LimitExchange
 import org.bramleytrestle.node.metrics.NodeMetrics
-import org.bramleytrestle.node.request.RefusingCallRecorder
+import org.bramleytrestle.node.request.PlatformCallRecorder
 import org.bramleytrestle.node.servers.ReportPoller
 import org.bramleytrestle.node.servers.ServerRegistry
 import org.bramleytrestle.node.servers.SnapshotPublisher
 import org.bramleytrestle.node.settings.ChangeWriter
 import org.bramleytrestle.node.settings.SettingsFollower
 import org.bramleytrestle.node.settings.SettingsHolder
+import org.bramleytrestle.platform.BudgetedObjectStore
+import org.bramleytrestle.platform.CallRecords
 import org.bramleytrestle.platform.ChangeLog
 import org.bramleytrestle.platform.HttpObjectStore
 import org.bramleytrestle.platform.InstanceList
+import org.bramleytrestle.platform.PlatformCallBudget
 import org.bramleytrestle.routing.DefaultChainPlanner
 import org.bramleytrestle.routing.DefaultRequestRouter
 import org.bramleytrestle.routing.FifoRequestRouter
@@ -71,7 +74,11 @@
     private val dataCentre = DataCentre(config.dataCentre)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val metrics = NodeMetrics()
-    private val store = HttpObjectStore(config.platform)
+    private val store = BudgetedObjectStore(
+        store = HttpObjectStore(config.platform),
+        budget = PlatformCallBudget(ratePerSecond = { PLATFORM_CALLS_PER_SECOND / members().size })
+    )
+    private val callRecords = CallRecords(store)
     private val changeLog = ChangeLog(store)
     private val instances = InstanceList(store)
     private val registry = ServerRegistry(clock)
@@ -126,7 +133,7 @@
         config = config,
         router = router,
         backends = backends,
-        records = RefusingCallRecorder,
+        records = PlatformCallRecorder(callRecords),
         clock = clock,
         metrics = metrics,
         drain = drain,
@@ -174,6 +181,7 @@
         scope.launch { instances.instances.collect(::listed) }
         scope.launch { SettingsFollower(holder, changeLog, ::isWatcher).run() }
         scope.launch { publisher.run() }
+        scope.launch { callRecords.run() }
         scope.launch { limits.run() }
         scope.launch {
             ReportPoller(backends.control, registry, ::polls, cluster::shareReports).run(scope)
@@ -292,6 +300,9 @@
     private companion object {
         /** Covers clocks and the way of an entries answer to the caller. */
         val KEEP_MARGIN = 5.seconds
+
+        // Part of the platform's 2,000 reads per second that all nodes together may use.
+        const val PLATFORM_CALLS_PER_SECOND = 1_500.0
         const val MAX_OPERATOR_BODY_BYTES = 2_000_000L
     }
 }
--- a/node/src/main/kotlin/org/bramleytrestle/node/request/CallRecorder.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/request/CallRecorder.kt
@@ -17,4 +17,7 @@
 
     /** The call was certainly not run, so that a repeat with the same key may run it. */
     suspend fun release(request: ServiceRequest)
+
+    /** The call may have run; its record stays open, so that no repeat runs it. */
+    fun abandon(request: ServiceRequest)
 }
--- /dev/null
+++ b/node/src/main/kotlin/org/bramleytrestle/node/request/PlatformCallRecorder.kt
@@ -0,0 +1,84 @@
+package org.bramleytrestle.node.request
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import java.util.Base64
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.bramleytrestle.backend.ServiceOutcome
+import org.bramleytrestle.model.ErrorKind
+import org.bramleytrestle.model.Failure
+import org.bramleytrestle.model.RequestId
+import org.bramleytrestle.platform.CallBegin
+import org.bramleytrestle.platform.CallKey
+import org.bramleytrestle.platform.CallRecords
+import org.bramleytrestle.platform.RecordedCall
+
+/** Keeps the records of calls that may not be repeated in the platform. */
+internal class PlatformCallRecorder(private val records: CallRecords) : CallRecorder {
+    @Serializable
+    private class StoredAnswer(
+        val status: Int,
+        val headers: Map<String, String>,
+        val bodyBase64: String
+    )
+
+    private val open = ConcurrentHashMap<RequestId, RecordedCall>()
+
+    override suspend fun begin(request: ServiceRequest): Result<ServiceOutcome.Answer?, Failure> =
+        withContext(NonCancellable) {
+            val key = CallKey(
+                organisation = request.organisation,
+                service = request.service,
+                idempotencyKey = checkNotNull(request.idempotencyKey)
+            )
+            when (val begin = records.begin(key, request.id.value)) {
+                is CallBegin.Run -> {
+                    open[request.id] = begin.call
+                    Ok(null)
+                }
+                is CallBegin.Recorded ->
+                    Ok(answer(Json.decodeFromJsonElement(StoredAnswer.serializer(), begin.outcome)))
+                CallBegin.InProgressOrUnknown -> Err(
+                    Failure(ErrorKind.IN_PROGRESS_OR_UNKNOWN, "a call with this key has begun")
+                )
+                CallBegin.Unavailable -> Err(
+                    Failure(ErrorKind.PLATFORM_UNAVAILABLE, "the call cannot be recorded")
+                )
+            }
+        }
+
+    override suspend fun complete(request: ServiceRequest, answer: ServiceOutcome.Answer) {
+        val call = open.remove(request.id) ?: return
+        val body = Base64.getEncoder().encodeToString(answer.body)
+        // A value of the platform has at most a megabyte; a longer answer is only marked as run.
+        val stored = StoredAnswer(
+            status = answer.status,
+            headers = answer.headers,
+            bodyBase64 = body.takeIf { it.length <= MAX_BODY_CHARS }.orEmpty()
+        )
+        records.complete(call, Json.encodeToJsonElement(StoredAnswer.serializer(), stored))
+    }
+
+    override suspend fun release(request: ServiceRequest) {
+        records.notRun(open.remove(request.id) ?: return)
+    }
+
+    override fun abandon(request: ServiceRequest) {
+        open.remove(request.id)
+    }
+
+    private fun answer(stored: StoredAnswer) = ServiceOutcome.Answer(
+        status = stored.status,
+        headers = stored.headers,
+        body = Base64.getDecoder().decode(stored.bodyBase64)
+    )
+
+    private companion object {
+        const val MAX_BODY_CHARS = 900_000
+    }
+}
--- a/node/src/main/kotlin/org/bramleytrestle/node/request/ServiceExecutor.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/request/ServiceExecutor.kt
@@ -55,7 +55,9 @@
         val run = Run(request)
         return run.bounded()
             .onSuccess { records.complete(request, it) }
-            .onFailure { if (!run.lifecycle.mayHaveRun) records.release(request) }
+            .onFailure {
+                if (run.lifecycle.mayHaveRun) records.abandon(request) else records.release(request)
+            }
     }
 
     private inner class Run(private val request: ServiceRequest) {
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/DemoMain.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/DemoMain.kt
@@ -76,7 +76,7 @@
 private fun booking(entry: String): String {
     val request = Request.Builder().url("$entry/services/booking/bookings")
         .header("X-Organisation", ORGANISATION)
-        .header("X-Request-Id", "demo-1")
+        .header("Idempotency-Key", "demo-1")
         .post("""{"bookingId":"demo-1","slot":"09:00"}""".toRequestBody(json)).build()
     return client.newCall(request).execute().use { response ->
         val text = response.body.string()
