--- a/routing/src/main/kotlin/org/bramleytrestle/routing/ChainSearch.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/ChainSearch.kt
@@ -8,88 +8,107 @@
  *
  * @param start data centre from which the first hop is called.
  */
-internal class ChainSearch(
-    private val servers: List<PlanningServer>,
-    private val layers: Int,
-    private val links: LinkTable,
-    private val start: Int
-) {
+internal class ChainSearch(private val group: ServerGroup, private val start: Int) {
+    private val links = group.links
+    private val width = links.size
+    private val places = group.servers.groupBy { Place(it.held, it.dataCentre) }
     private val boundaries: IntArray =
-        (servers.flatMap { listOf(it.held.from, it.held.until) } + listOf(0, layers))
+        (places.keys.flatMap { listOf(it.held.from, it.held.until) } + listOf(0, group.layers))
             .distinct().sorted().toIntArray()
-    private val byBoundary: List<List<PlanningServer>> = boundaries.map { boundary ->
-        servers.filter { boundary in it.held.from..<it.held.until }
+    private val cells: List<ServerCell> = places.entries.mapIndexed { number, (place, servers) ->
+        ServerCell(
+            number = number,
+            servers = servers.toTypedArray(),
+            held = place.held,
+            dataCentre = place.dataCentre,
+            lastBoundary = boundaries.binarySearch(place.held.until)
+        )
+    }
+    private val byBoundary: Array<Array<ServerCell>> = Array(boundaries.size) { boundary ->
+        cells.filter { boundaries[boundary] in it.held.from..<it.held.until }.toTypedArray()
+    }
+    private val cellOf: Array<ServerCell?> = arrayOfNulls<ServerCell>(group.servers.size).also {
+        for (cell in cells) for (server in cell.servers) it[server.index] = cell
     }
-    private val width = links.size
 
-    /** The cheapest chain in order, or null if no allowed servers cover every layer. */
-    fun cheapest(cost: HopCost): List<PlannedHop>? {
-        val reached = DoubleArray(boundaries.size * width) { Double.POSITIVE_INFINITY }
-        val server = arrayOfNulls<PlanningServer>(reached.size)
-        val previous = IntArray(reached.size)
-        for (from in 0..<boundaries.lastIndex) {
-            for (next in byBoundary[from]) {
-                val before = cheapestArrival(reached, from, next.dataCentre)
-                val arrival = if (from == 0) {
-                    links.micros(start, next.dataCentre)
-                } else {
-                    reached[before] + links.micros(before % width, next.dataCentre)
-                }
-                var until = from + 1
-                while (until < boundaries.size && boundaries[until] <= next.held.until) {
-                    val total = arrival + cost.micros(next, boundaries[until] - boundaries[from])
-                    val state = until * width + next.dataCentre
-                    if (total < reached[state]) {
-                        reached[state] = total
-                        server[state] = next
-                        previous[state] = before
-                    }
-                    until++
-                }
+    private data class Place(val held: LayerRange, val dataCentre: Int)
+
+    /**
+     * Searches with [cost]; a later search reuses what did not change.
+     *
+     * @param linkWeight multiplies the link times between hops.
+     */
+    fun under(cost: HopCost, linkWeight: Double = 1.0): Session =
+        Session(CheapestServers(cells, cost), linkWeight)
+
+    inner class Session(private val cheapest: CheapestServers, private val linkWeight: Double) {
+        private val reached = DoubleArray(boundaries.size * width)
+        private val cell = arrayOfNulls<ServerCell>(reached.size)
+        private val previous = IntArray(reached.size)
+        private val arrival = DoubleArray(width)
+        private val before = IntArray(width)
+
+        /** The cheapest chain in order, or null if no allowed servers cover every layer. */
+        fun cheapestChain(): List<PlannedHop>? {
+            reached.fill(Double.POSITIVE_INFINITY)
+            for (from in 0..<boundaries.lastIndex) {
+                arrive(from)
+                for (next in byBoundary[from]) extend(from, next)
             }
+            val last = (boundaries.lastIndex * width..<reached.size).minBy { reached[it] }
+            return if (reached[last].isInfinite()) null else withoutReturns(path(last))
         }
-        val last = (boundaries.lastIndex * width..<reached.size).minBy { reached[it] }
-        if (reached[last].isInfinite()) return null
-        return withoutReturns(path(last, server, previous))
-    }
 
-    /** Whether servers that [allowed] admits cover every layer. */
-    fun covers(allowed: (PlanningServer) -> Boolean): Boolean {
-        var covered = 0
-        while (covered < layers) {
-            val from = boundaries.binarySearch(covered)
-            covered = byBoundary[from].filter(allowed).maxOfOrNull { it.held.until } ?: return false
+        /** The cost of [server] changed. */
+        fun changed(server: PlanningServer) = cheapest.changed(checkNotNull(cellOf[server.index]))
+
+        /** Fills the cost of reaching each data centre once the layers before [from] are done. */
+        private fun arrive(from: Int) {
+            if (from == 0) {
+                links.row(start).copyInto(arrival)
+                return
+            }
+            arrival.fill(Double.POSITIVE_INFINITY)
+            for (state in from * width..<(from + 1) * width) {
+                val micros = reached[state]
+                if (micros == Double.POSITIVE_INFINITY) continue
+                val row = links.row(state - from * width)
+                for (to in row.indices) {
+                    val total = micros + row[to] * linkWeight
+                    if (total < arrival[to]) {
+                        arrival[to] = total
+                        before[to] = state
+                    }
+                }
+            }
         }
-        return true
-    }
 
-    private fun cheapestArrival(reached: DoubleArray, boundary: Int, dataCentre: Int): Int {
-        var best = boundary * width
-        var bestMicros = Double.POSITIVE_INFINITY
-        for (state in boundary * width..<(boundary + 1) * width) {
-            val micros = reached[state] + links.micros(state % width, dataCentre)
-            if (micros < bestMicros) {
-                best = state
-                bestMicros = micros
+        private fun extend(from: Int, next: ServerCell) {
+            val at = arrival[next.dataCentre]
+            if (at.isInfinite()) return
+            for (until in from + 1..next.lastBoundary) {
+                val total = at + cheapest.micros(next, boundaries[until] - boundaries[from])
+                val state = until * width + next.dataCentre
+                if (total < reached[state]) {
+                    reached[state] = total
+                    cell[state] = next
+                    previous[state] = if (from == 0) 0 else before[next.dataCentre]
+                }
             }
         }
-        return best
-    }
 
-    private fun path(
-        last: Int,
-        server: Array<PlanningServer?>,
-        previous: IntArray
-    ): List<PlannedHop> {
-        val hops = ArrayDeque<PlannedHop>()
-        var state = last
-        while (state >= width) {
-            val from = previous[state]
-            val range = LayerRange(boundaries[from / width], boundaries[state / width])
-            hops.addFirst(PlannedHop(checkNotNull(server[state]), range))
-            state = from
+        private fun path(last: Int): List<PlannedHop> {
+            val hops = ArrayDeque<PlannedHop>()
+            var state = last
+            while (state >= width) {
+                val from = previous[state]
+                val range = LayerRange(boundaries[from / width], boundaries[state / width])
+                val server = cheapest.server(checkNotNull(cell[state]), range.size)
+                hops.addFirst(PlannedHop(server, range))
+                state = from
+            }
+            return hops
         }
-        return hops
     }
 
     /**
@@ -97,13 +116,13 @@
      * request, so it can't be two stages of one chain; it holds all layers between its two hops.
      */
     private fun withoutReturns(hops: List<PlannedHop>): List<PlannedHop> {
-        val merged = ArrayList<PlannedHop>()
+        val merged = ArrayList<PlannedHop>(hops.size)
         var index = 0
         while (index < hops.size) {
             val hop = hops[index]
             val last = hops.indexOfLast { it.server === hop.server }
             val range = LayerRange(hop.layers.from, hops[last].layers.until)
-            merged += PlannedHop(hop.server, range)
+            merged += if (last == index) hop else PlannedHop(hop.server, range)
             index = last + 1
         }
         return merged
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/DefaultChainPlanner.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/DefaultChainPlanner.kt
@@ -10,10 +10,20 @@
  * Samples chains that were prepared when the snapshot was published and takes the cheapest, so
  * that nodes with equally old reports don't all choose the same server.
  *
+ * @param subset the servers that this node uses; null means all.
+ * @param hints read at every publish.
  * @param random seeds the sampling.
  */
-public class DefaultChainPlanner(random: Random = Random.Default) : ChainPlanner {
-    private class Published(val snapshot: RoutingSnapshot, val fleet: FleetIndex)
+public class DefaultChainPlanner(
+    private val subset: ServerSubset? = null,
+    private val hints: () -> PrefixHints = { PrefixHints.NONE },
+    random: Random = Random.Default
+) : ChainPlanner {
+    private class Published(
+        val fleet: FleetIndex,
+        val hints: PrefixHints,
+        val groups: Map<GroupKey, PreparedGroup>
+    )
 
     private val draws = ConcurrentRandom(random)
     private val recent = ConcurrentHashMap<InstanceId, RecentChoices>()
@@ -21,35 +31,36 @@
         prepare(RoutingSnapshot(SettingsState.EMPTY, emptyMap(), emptyMap()))
     )
 
-    override val snapshot: RoutingSnapshot get() = published.get().snapshot
+    override val snapshot: RoutingSnapshot get() = published.get().fleet.snapshot
 
     @Synchronized
     override fun publish(next: RoutingSnapshot) {
-        recent.keys.retainAll(next.servers.keys)
+        if (recent.size > next.servers.size) recent.keys.retainAll(next.servers.keys)
         published.set(prepare(next))
     }
 
     override fun choose(query: ChainQuery): ChainPlan? {
-        val fleet = published.get().fleet
-        val group = fleet.groups[GroupKey.of(query)] ?: return null
-        val costs = QueryCosts(query, fleet.links, fleet.start)
-        val chosen = sampled(group, costs) ?: searched(group, costs) ?: return null
-        chosen.planned.forEach { it.server.recent.chosen() }
+        val now = published.get()
+        val group = now.groups[GroupKey.of(query)] ?: return null
+        val holders = query.prefixHash?.let { now.hints.holders(it) }.orEmpty()
+        val costs = QueryCosts(query, now.fleet.links, now.fleet.start, holders)
+        val chosen = sampled(group, costs)?.let { withHolders(group.group, it, holders, costs) }
+            ?: group.search.under(costs).cheapestChain()?.let { Candidate(it) }
+            ?: return null
+        for (hop in chosen.planned) hop.server.recent.chosen()
         return costs.plan(chosen)
     }
 
-    override fun exists(query: ChainQuery): Boolean {
-        val group = published.get().fleet.groups[GroupKey.of(query)] ?: return false
-        return group.search.covers { it.id !in query.excluded }
-    }
+    override fun exists(query: ChainQuery): Boolean =
+        published.get().fleet.groups[GroupKey.of(query)]?.covers(query) ?: false
 
-    private fun sampled(group: ServerGroup, costs: QueryCosts): Candidate? {
+    private fun sampled(group: PreparedGroup, costs: QueryCosts): Candidate? {
         if (group.candidates.isEmpty()) return null
         var best: Candidate? = null
         var bestMicros = Double.POSITIVE_INFINITY
         repeat(SAMPLES) {
             val candidate = group.candidates[draws.below(group.candidates.size)]
-            val micros = costs.micros(candidate)
+            val micros = costs.micros(candidate.planned)
             if (micros < bestMicros) {
                 best = candidate
                 bestMicros = micros
@@ -58,15 +69,49 @@
         return best
     }
 
-    private fun searched(group: ServerGroup, costs: QueryCosts): Candidate? =
-        group.search.cheapest(costs)?.let { Candidate(it) }
+    /** Replaces servers of the chain by holders of the prompt prefix where that is cheaper. */
+    private fun withHolders(
+        group: ServerGroup,
+        chosen: Candidate,
+        holders: List<InstanceId>,
+        costs: QueryCosts
+    ): Candidate {
+        if (holders.isEmpty()) return chosen
+        var best = chosen.planned
+        var bestMicros = costs.micros(best)
+        for (holder in holders.takeLast(MAX_HOLDERS)) {
+            val server = group.server(holder) ?: continue
+            for (index in best.indices) {
+                if (!server.mayReplace(index, best)) continue
+                val replaced = best.copyOf()
+                replaced[index] = PlannedHop(server, best[index].layers)
+                val micros = costs.micros(replaced)
+                if (micros < bestMicros) {
+                    best = replaced
+                    bestMicros = micros
+                }
+            }
+        }
+        return if (best === chosen.planned) chosen else Candidate(best)
+    }
 
-    private fun prepare(next: RoutingSnapshot) = Published(
-        snapshot = next,
-        fleet = FleetIndex(next) { recent.computeIfAbsent(it) { RecentChoices() } }
-    )
+    private fun PlanningServer.mayReplace(index: Int, chain: Array<PlannedHop>): Boolean =
+        chain[index].layers.let { it.from >= held.from && it.until <= held.until } &&
+            chain.none { it.server === this }
+
+    private fun prepare(next: RoutingSnapshot): Published {
+        val fleet = FleetIndex(next, subset) { recent.computeIfAbsent(it) { RecentChoices() } }
+        return Published(
+            fleet = fleet,
+            hints = hints(),
+            groups = fleet.groups.mapValues { PreparedGroup(it.value, fleet.start, draws) }
+        )
+    }
 
     private companion object {
         const val SAMPLES = 2
+
+        /** Bounds the cost of a decision for a prefix that very many instances hold. */
+        const val MAX_HOLDERS = 8
     }
 }
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/FleetIndex.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/FleetIndex.kt
@@ -11,12 +11,13 @@
  * instance list and takes precedence.
  */
 internal class FleetIndex(
-    private val snapshot: RoutingSnapshot,
-    private val recent: (InstanceId) -> RecentChoices
+    val snapshot: RoutingSnapshot,
+    private val subset: ServerSubset? = null,
+    private val recent: (InstanceId) -> RecentChoices = { RecentChoices() }
 ) {
     private val document = snapshot.settings.document
     val links = LinkTable(
-        names = snapshot.servers.values.mapTo(sortedSetOf(snapshot.dataCentre)) {
+        names = snapshot.servers.values.mapTo(linkedSetOf(snapshot.dataCentre)) {
             it.dataCentre.value
         },
         linkMicros = snapshot.linkMicros
@@ -24,48 +25,53 @@
 
     /** Data centre of this node. */
     val start: Int = links.position(snapshot.dataCentre)
-    val groups: Map<GroupKey, ServerGroup> = snapshot.servers.values
-        .mapNotNull { usable(it) }
-        .groupBy({ it.key })
-        .mapValues { (key, usable) -> group(key, usable.sortedBy { it.instance.id.value }) }
+    val groups: Map<GroupKey, ServerGroup> = usableByKey()
+        .mapValues { (key, usable) -> group(key, used(key, usable)) }
 
-    private class Usable(
-        val key: GroupKey,
-        val instance: Instance,
-        val report: LoadReport?,
-        val held: LayerRange
-    )
-
-    private fun usable(instance: Instance): Usable? {
-        val report = snapshot.reports[instance.id]
-        val pool = document.pools[instance.pool]
-        return when {
-            pool == null || instance.leaving || report?.leaving == true -> null
+    private class Usable(val instance: Instance, val report: LoadReport?, val held: LayerRange)
 
-            pool.kind == PoolKind.SERVICE -> pool.service?.let {
-                Usable(GroupKey(GroupKey.Kind.SERVICE, it, pool.side), instance, report, ONE_LAYER)
-            }
+    private class Pool(val key: GroupKey, val usable: MutableList<Usable>)
 
-            else -> pool.model?.let { model ->
-                heldLayers(instance, report, model)?.let {
-                    Usable(GroupKey(GroupKey.Kind.MODEL, model, pool.side), instance, report, it)
-                }
-            }
+    /** Resolves each pool once: thousands of servers share a few pools. */
+    private fun usableByKey(): Map<GroupKey, List<Usable>> {
+        val byKey = LinkedHashMap<GroupKey, MutableList<Usable>>()
+        val pools = HashMap<String, Pool>()
+        for ((name, settings) in document.pools) {
+            val key = GroupKey.of(settings) ?: continue
+            pools[name] = Pool(key, byKey.getOrPut(key) { ArrayList() })
+        }
+        for (instance in snapshot.servers.values) {
+            val pool = pools[instance.pool] ?: continue
+            val report = snapshot.reports[instance.id]
+            if (instance.leaving || report?.leaving == true) continue
+            val held = heldLayers(instance, report, pool.key) ?: continue
+            pool.usable += Usable(instance, report, held)
         }
+        return byKey.filterValues { it.isNotEmpty() }
     }
 
-    /** The layers of [model] at its current version, or null if it runs something else. */
-    private fun heldLayers(instance: Instance, report: LoadReport?, model: String): LayerRange? {
-        val settings = document.models[model] ?: return null
+    /** The layers of the pool's model at its current version, or null if it runs another one. */
+    private fun heldLayers(instance: Instance, report: LoadReport?, key: GroupKey): LayerRange? {
+        if (key.kind == PoolKind.SERVICE) return ONE_LAYER
+        val settings = document.models[key.name] ?: return null
         val held = report?.layers ?: instance.layers ?: return null
-        val matches = (report?.model ?: instance.model)?.value == model &&
+        val matches = (report?.model ?: instance.model)?.value == key.name &&
             (report?.version ?: instance.version) == settings.version &&
             held.until <= settings.layers
         return held.takeIf { matches }
     }
 
+    private fun used(key: GroupKey, usable: List<Usable>): List<Usable> {
+        if (subset == null || usable.size <= subset.size) return usable
+        return usable.groupBy { it.held }.flatMap { (held, servers) ->
+            subset.of("${key.kind}/${key.name}/${key.side}/${held.from}-${held.until}", servers) {
+                it.instance.id
+            }
+        }
+    }
+
     private fun group(key: GroupKey, usable: List<Usable>): ServerGroup {
-        val speeds = Speeds(usable.mapNotNull { it.report })
+        val speeds = Speeds { usable.mapNotNull { it.report } }
         val servers = usable.mapIndexed { index, server ->
             val instance = server.instance
             val report = server.report
@@ -84,10 +90,10 @@
             )
         }
         val layers = when (key.kind) {
-            GroupKey.Kind.MODEL -> document.models.getValue(key.name).layers
-            GroupKey.Kind.SERVICE -> ONE_LAYER.until
+            PoolKind.ENGINE -> document.models.getValue(key.name).layers
+            PoolKind.SERVICE -> ONE_LAYER.until
         }
-        return ServerGroup(servers, layers, links, start)
+        return ServerGroup(servers, layers, links)
     }
 
     private companion object {
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/GroupKey.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/GroupKey.kt
@@ -1,16 +1,21 @@
 package org.bramleytrestle.routing
 
 import org.bramleytrestle.model.Side
+import org.bramleytrestle.settings.PoolKind
+import org.bramleytrestle.settings.PoolSettings
 
-/** A model or plain service on one side. */
-internal data class GroupKey(val kind: Kind, val name: String, val side: Side) {
-    enum class Kind { MODEL, SERVICE }
-
+/** A model or plain service on one side; [name] is the name of the model or service. */
+internal data class GroupKey(val kind: PoolKind, val name: String, val side: Side) {
     companion object {
         fun of(query: ChainQuery): GroupKey {
-            val model =
-                query.model ?: return GroupKey(Kind.SERVICE, query.service.value, query.side)
-            return GroupKey(Kind.MODEL, model.value, query.side)
+            val model = query.model
+                ?: return GroupKey(PoolKind.SERVICE, query.service.value, query.side)
+            return GroupKey(PoolKind.ENGINE, model.value, query.side)
+        }
+
+        fun of(pool: PoolSettings): GroupKey? {
+            val name = if (pool.kind == PoolKind.SERVICE) pool.service else pool.model
+            return name?.let { GroupKey(pool.kind, it, pool.side) }
         }
     }
 }
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/LinkTable.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/LinkTable.kt
@@ -13,6 +13,9 @@
 
     fun micros(from: Int, to: Int): Double = micros[from][to]
 
+    /** Times from one data centre to every other; not to be changed. */
+    fun row(from: Int): DoubleArray = micros[from]
+
     private fun time(from: String, to: String, known: Map<String, Long>): Double =
         known["$from>$to"]?.toDouble() ?: if (from == to) 0.0 else UNKNOWN_LINK_MICROS
 
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/Mixing.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/Mixing.kt
@@ -5,6 +5,8 @@
 private const val SHIFT_3 = 31
 private const val MULTIPLIER_1 = -0x40a7b892e31b1a47L
 private const val MULTIPLIER_2 = -0x6b2fb644ecceee15L
+private const val FNV_OFFSET = -0x340d631b7bdddcdbL
+private const val FNV_PRIME = 0x100000001b3L
 
 /** The finaliser of SplitMix64: every input bit changes about half of the output bits. */
 internal fun mix64(value: Long): Long {
@@ -12,3 +14,10 @@
     val second = (first xor (first ushr SHIFT_2)) * MULTIPLIER_2
     return second xor (second ushr SHIFT_3)
 }
+
+/** FNV-1a over UTF-16 units, mixed because FNV alone spreads the last units badly. */
+internal fun hash64(text: String): Long {
+    var hash = FNV_OFFSET
+    for (unit in text) hash = (hash xor unit.code.toLong()) * FNV_PRIME
+    return mix64(hash)
+}
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/PlanningServer.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/PlanningServer.kt
@@ -10,6 +10,7 @@
  * @property index position in its [ServerGroup].
  * @property dataCentre position in the [LinkTable].
  * @property held the layers it can run, or any part of them.
+ * @property queueMicros reported wait of a new step.
  */
 internal class PlanningServer(
     val index: Int,
@@ -23,13 +24,13 @@
     val recent: RecentChoices
 ) {
     /** What one more attempt adds to the wait of the next one. */
-    val microsPerAttempt: Double = microsPerLayer * held.size / slots
+    private val microsPerAttempt: Double = microsPerLayer * held.size / slots
 
-    /** Wait of a new step: as reported, plus this node's attempts that the report can't contain. */
-    fun waitMicros(inFlight: (InstanceId) -> Int): Double {
+    /** Wait that this node's attempts cause and that the report can't contain. */
+    fun unreportedMicros(inFlight: (InstanceId) -> Int): Double {
         val unreported = recent.unreported()
-        val pending = if (unreported == 0) 0 else minOf(unreported, inFlight(id))
-        return queueMicros + pending * microsPerAttempt
+        if (unreported == 0) return 0.0
+        return minOf(unreported, inFlight(id)) * microsPerAttempt
     }
 
     fun hop(layers: LayerRange): StageHop = StageHop(id, address, layers)
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/RecentChoices.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/RecentChoices.kt
@@ -20,9 +20,12 @@
 
     fun unreported(): Int = sinceReport.get() + intervalBefore
 
-    /** Starts a new interval when [newest] is a newer report. Called by the publisher only. */
+    /**
+     * Starts a new interval when [newest] is another report. Called by the publisher only. A lower
+     * number is the first report of a restarted server.
+     */
     fun reported(newest: Long) {
-        if (newest <= sequence) return
+        if (newest == sequence) return
         sequence = newest
         intervalBefore = sinceReport.getAndSet(0)
     }
--- /dev/null
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/ServerSubset.kt
@@ -0,0 +1,24 @@
+package org.bramleytrestle.routing
+
+import org.bramleytrestle.model.InstanceId
+
+/**
+ * Limits this node to some of the servers of each model and layer range, so that its state and
+ * the reports it needs don't grow with the fleet.
+ *
+ * @param size servers per model, side and layer range.
+ */
+public class ServerSubset(private val node: InstanceId, public val size: Int = DEFAULT_SIZE) {
+    /** The servers of [servers], which all hold the layer range [range], that this node uses. */
+    public fun <T> of(range: String, servers: List<T>, id: (T) -> InstanceId): List<T> =
+        if (servers.size <= size) {
+            servers
+        } else {
+            Rendezvous.top("${node.value}/$range", servers, size) { id(it).value }
+        }
+
+    public companion object {
+        /** Two samples among this many differ nearly always; a node's share of load stays even. */
+        public const val DEFAULT_SIZE: Int = 128
+    }
+}
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/Speeds.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/Speeds.kt
@@ -7,10 +7,12 @@
  * Speeds of servers, with the mean of their kind for servers that have not reported one. Without
  * it a new server looks infinitely fast and attracts all work.
  */
-internal class Speeds(reports: List<LoadReport>) {
-    private val known = reports.filter { it.microsPerLayer > 0 }
-    private val byAccelerator = known.groupBy { it.accelerator }.mapValues { mean(it.value) }
-    private val overall = if (known.isEmpty()) 1.0 else mean(known)
+internal class Speeds(reports: () -> List<LoadReport>) {
+    private val known by lazy { reports().filter { it.microsPerLayer > 0 } }
+    private val byAccelerator by lazy {
+        known.groupBy { it.accelerator }.mapValues { mean(it.value) }
+    }
+    private val overall by lazy { if (known.isEmpty()) 1.0 else mean(known) }
 
     fun microsPerLayer(instance: Instance, report: LoadReport?): Double = when {
         report != null && report.microsPerLayer > 0 -> report.microsPerLayer.toDouble()
--- /dev/null
+++ b/routing/src/test/kotlin/org/bramleytrestle/routing/FleetSimulation.kt
@@ -0,0 +1,90 @@
+package org.bramleytrestle.routing
+
+import java.util.PriorityQueue
+import kotlin.math.ln
+import kotlin.random.Random
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.StageHop
+
+/**
+ * Several nodes send streams of steps to servers with one FIFO queue each, on virtual time in
+ * microseconds. Every node plans with reports that are [reportLag] old at best.
+ */
+internal class FleetSimulation(
+    private val fleet: RoutingSnapshot,
+    private val planners: List<ChainPlanner>,
+    private val random: Random,
+    private val tokens: Int = 1,
+    private val reportInterval: Double = 500_000.0,
+    private val reportLag: Double = 250_000.0
+) {
+    private class Event(val at: Double, val order: Int, val run: () -> Unit)
+    private class Server(val microsPerLayer: Double, var freeAt: Double = 0.0)
+
+    private val events = PriorityQueue<Event>(compareBy({ it.at }, { it.order }))
+    private val servers = fleet.reports.mapValues { Server(it.value.microsPerLayer.toDouble()) }
+    private val inFlight = planners.map { HashMap<InstanceId, Int>() }
+    private var now = 0.0
+    private var order = 0
+    private var sequence = 1L
+    val latencies = ArrayList<Double>()
+
+    /** Requests per microsecond that the slowest stage of a fleet of disjoint stages can do. */
+    fun rateBound(): Double = fleet.servers.values.groupBy { it.layers }.minOf { (range, stage) ->
+        stage.sumOf { 1 / (servers.getValue(it.id).microsPerLayer * range!!.size) }
+    } / tokens
+
+    /** Offers [load] of the rate bound for [micros]; returns completions relative to the bound. */
+    fun run(load: Double, micros: Double): Double {
+        val rate = load * rateBound()
+        at(0.0) { takeReports() }
+        at(0.0) { arrive(rate) }
+        while (events.isNotEmpty() && events.peek().at < micros) {
+            val event = events.poll()
+            now = event.at
+            event.run()
+        }
+        return latencies.size / (rateBound() * micros)
+    }
+
+    private fun at(time: Double, run: () -> Unit) {
+        events += Event(time, order++, run)
+    }
+
+    private fun arrive(rate: Double) {
+        at(now - ln(1 - random.nextDouble()) / rate) { arrive(rate) }
+        val node = random.nextInt(planners.size)
+        val plan = planners[node].choose(
+            query().copy(
+                promptTokens = 0,
+                expectedTokens = tokens,
+                inFlight = { inFlight[node][it] ?: 0 }
+            )
+        ) ?: return
+        plan.hops.forEach {
+            inFlight[node].merge(it.instance, 1, Int::plus)
+        }
+        step(plan.hops, 0, now) {
+            latencies += it
+            plan.hops.forEach { hop -> inFlight[node].merge(hop.instance, -1, Int::plus) }
+        }
+    }
+
+    private fun step(hops: List<StageHop>, index: Int, began: Double, done: (Double) -> Unit) {
+        if (index == hops.size * tokens) return done(now - began)
+        val hop = hops[index % hops.size]
+        val server = servers.getValue(hop.instance)
+        server.freeAt = maxOf(server.freeAt, now) + server.microsPerLayer * hop.layers.size
+        at(server.freeAt) { step(hops, index + 1, began, done) }
+    }
+
+    private fun takeReports() {
+        val reports = fleet.reports.mapValues { (id, report) ->
+            val queue = maxOf(0.0, servers.getValue(id).freeAt - now).toLong()
+            report.copy(queueMicros = queue, sequence = sequence)
+        }
+        sequence++
+        at(now + reportLag) { planners.forEach { it.publish(fleet.copy(reports = reports)) } }
+        at(now + reportInterval) { takeReports() }
+    }
+}
