--- a/routing/src/main/kotlin/org/bramleytrestle/routing/GrantAllocator.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/GrantAllocator.kt
@@ -75,6 +75,8 @@
         val held = nodes.mapValues { (_, node) ->
             node.outstanding.maxOfOrNull { it.tokensPerSecond } ?: 0.0
         }
+        // After the limit fell, renewing smaller grants would keep the old sum alive.
+        if (held.values.sum() > part * (1 + ROUNDING)) return emptyList()
         val wanted = nodes.filterValues { it.demand > 0.0 }
             .mapValues { (_, node) -> part * node.demand / demand }
         val missing = wanted.entries.sumOf { (id, want) ->
@@ -90,4 +92,9 @@
             OrganisationGrant(id, organisation, rate, duration)
         }.filter { it.tokensPerSecond > 0.0 }
     }
+
+    private companion object {
+        /** Relative error of sums of floating-point rates. */
+        const val ROUNDING = 1e-9
+    }
 }
--- /dev/null
+++ b/routing/src/test/kotlin/org/bramleytrestle/routing/ConcurrencyLimiterTest.kt
@@ -0,0 +1,108 @@
+package org.bramleytrestle.routing
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.checkAll
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlinx.coroutines.test.runTest
+import org.jetbrains.lincheck.datastructures.ModelCheckingOptions
+import org.jetbrains.lincheck.datastructures.Operation
+
+class ConcurrencyLimiterTest {
+    /** Guards against slots that are lost or given twice between concurrent request threads. */
+    @Test
+    fun `slot operations are linearizable`() =
+        ModelCheckingOptions().iterations(20).invocationsPerIteration(500).check(Slots::class)
+
+    /** Guards against a lost adjustment when several attempts end at once. */
+    @Test
+    fun `limit operations are linearizable`() =
+        ModelCheckingOptions().iterations(20).invocationsPerIteration(500).check(Limits::class)
+
+    class Slots {
+        private val limiter = ConcurrencyLimiter(3).apply {
+            repeat(2) { tryAcquire(WorkClass.SHORT, 0.0) }
+        }
+
+        @Operation
+        fun acquireShort() = limiter.tryAcquire(WorkClass.SHORT, 0.34)
+
+        @Operation
+        fun acquireLong() = limiter.tryAcquire(WorkClass.LONG, 0.34)
+
+        @Operation(runOnce = true)
+        fun release() = limiter.release(WorkClass.SHORT)
+
+        @Operation(runOnce = true)
+        fun demote() = limiter.demote()
+
+        @Operation
+        fun inFlight() = limiter.inFlight
+    }
+
+    class Limits {
+        private val limiter = ConcurrencyLimiter(8)
+
+        @Operation
+        fun refused() = limiter.refused()
+
+        @Operation
+        fun succeeded() = limiter.succeeded(1.0)
+
+        @Operation
+        fun slots() = limiter.onSlots(6)
+
+        @Operation
+        fun limit() = limiter.limit
+    }
+
+    /** Guards against a limit that closes a server for ever or exceeds its slots. */
+    @Test
+    fun `the limit stays between one and the slots whatever the samples are`() = runTest {
+        val arb = Arb.list(Arb.int(-1..50), 0..300)
+        checkAll(PropTestConfig(seed = 11, iterations = 200), arb) { samples ->
+            val limiter = ConcurrencyLimiter(16)
+            for (sample in samples) {
+                if (sample < 0) limiter.refused() else limiter.succeeded(sample / 10.0)
+                assertTrue(limiter.limit in 1..16)
+            }
+        }
+    }
+
+    /** Guards against a limit that ignores queueing: steps slow down above 10 attempts. */
+    @Test
+    fun `the limit falls on slow steps and grows again when they are fast`() {
+        val limiter = ConcurrencyLimiter(40)
+        while (limiter.tryAcquire(WorkClass.SHORT, 0.0)) Unit
+        repeat(100) { limiter.succeeded(1.0) }
+        repeat(2000) { limiter.succeeded(if (limiter.limit > 10) limiter.limit / 4.0 else 1.0) }
+        assertTrue(limiter.limit in 6..12, "limit ${limiter.limit}")
+        repeat(2000) { limiter.succeeded(1.0) }
+        assertEquals(40, limiter.limit)
+    }
+
+    /** Guards against one burst of refusals that closes a server. */
+    @Test
+    fun `refusals of one burst lower the limit once`() {
+        val limiter = ConcurrencyLimiter(20)
+        repeat(16) { limiter.refused() }
+        assertEquals(16, limiter.limit)
+    }
+
+    /** Guards against long work in the slots that are reserved for short work. */
+    @Test
+    fun `long work leaves the reserve free and a demoted attempt counts as long`() {
+        val limiter = ConcurrencyLimiter(8)
+        val longs = generateSequence { limiter.tryAcquire(WorkClass.LONG, 0.25) }.takeWhile { it }
+        assertEquals(6, longs.count())
+        assertTrue(limiter.tryAcquire(WorkClass.SHORT, 0.25))
+        limiter.demote()
+        limiter.release(WorkClass.LONG)
+        assertEquals(false, limiter.hasRoom(WorkClass.LONG, 0.25))
+        assertEquals(6, limiter.inFlight)
+    }
+}
