--- a/standins/src/main/kotlin/org/bramleytrestle/standins/platform/InMemoryObjectStore.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/platform/InMemoryObjectStore.kt
@@ -85,19 +85,20 @@
         ageMillis: Long = 0
     ): Result<List<StoreEvent>, StoreRefusal> = lock.withLock {
         val deadline = nowMillis() + waitMillis
-        while (true) {
+        var events: List<StoreEvent>
+        do {
             val state = of(kind)
             if (afterVersion < state.forgottenVersion) return Err(StoreRefusal.EXPIRED)
             val cut = nowMillis() - ageMillis
-            val events = state.history.takeLastWhile { it.version > afterVersion }
+            events = state.history.takeLastWhile { it.version > afterVersion }
                 .takeWhile { it.atMillis <= cut }
             val left = deadline - nowMillis()
-            if (events.isNotEmpty() || left <= 0) return Ok(events)
-            val step = if (ageMillis > 0) minOf(left, LAG_POLL_MILLIS) else left
-            changed.await(step, TimeUnit.MILLISECONDS)
-        }
-        @Suppress("UNREACHABLE_CODE")
-        Ok(emptyList())
+            if (events.isEmpty() && left > 0) {
+                val step = if (ageMillis > 0) minOf(left, LAG_POLL_MILLIS) else left
+                changed.await(step, TimeUnit.MILLISECONDS)
+            }
+        } while (events.isEmpty() && left > 0)
+        Ok(events)
     }
 
     private fun of(kind: String) = kinds.getOrPut(kind) { Kind() }
