Test membership and dissemination on virtual time and measure control traffic

Cause: the protocol had been run with three healthy members only. Change: a deterministic simulation of many members (loss, delay, cuts, freezes, silent connections), property tests with fixed seeds, and bin/bench-control, which prints traffic, times and heap per member count.

--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterCore.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterCore.kt
@@ -44,7 +44,8 @@
     private var now = now
     private var lastTick = now
     private var nextHeartbeat = now + random.nextLong(heartbeat)
-    private var nextAntiEntropy = now + jittered(intervals.antiEntropy.inWholeMilliseconds)
+    private val startedAt = now
+    private var nextAntiEntropy = now + jittered(2 * heartbeat)
     private var nextSeed = now
     private var nextReports = now
     private var knownDelegates = emptyList<String>()
@@ -100,7 +101,7 @@
             beat()
         }
         if (now >= nextAntiEntropy) {
-            nextAntiEntropy = now + jittered(intervals.antiEntropy.inWholeMilliseconds)
+            nextAntiEntropy = now + jittered(antiEntropyMillis())
             compareTables()
         }
         if (now >= nextSeed) {
@@ -190,8 +191,9 @@
         detector.probe(now)
         if (!isDelegate()) return
         val own = table.self.dataCentre
-        val live = table.inDataCentre(own).filter { it.state.rank < MemberState.SUSPECT.rank }
-        dataCentres.advance(own, live.minOfOrNull { it.revision } ?: 0, now)
+        // A suspect member counts: whether it has the revision is not known.
+        val members = table.inDataCentre(own).filter { it.state != MemberState.DEAD }
+        dataCentres.advance(own, members.minOfOrNull { it.revision } ?: 0, now)
         repeat(CROSS_PROBES) { nextRemote()?.let { detector.greet(it.address) } }
     }
 
@@ -247,6 +249,13 @@
         }
     }
 
+    /** Comparisons are frequent at the start: many members may be starting at once. */
+    private fun antiEntropyMillis(): Long = if (now - startedAt < STARTING_MILLIS) {
+        2 * heartbeat
+    } else {
+        intervals.antiEntropy.inWholeMilliseconds
+    }
+
     private fun compareTables() {
         table.neighbours().randomOrNull(random)?.let { sendDigests(it.address) }
         if (isDelegate()) nextRemote()?.let { sendDigests(it.address) }
@@ -322,6 +331,7 @@
         const val CROSS_FAN_OUT = 3
         const val CROSS_PROBES = 2
         const val CROSS_START = 1_000
+        const val STARTING_MILLIS = 20_000L
         const val REPORT_INTERVAL_MILLIS = 200L
     }
 }
--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/DataCentreTable.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/DataCentreTable.kt
@@ -13,8 +13,8 @@
     var version = 0L
         private set
 
-    fun statuses(): List<DataCentreStatus> =
-        entries.map { (name, it) -> DataCentreStatus(name, it.counter, it.floor) }
+    fun statuses(): List<DataCentreStatus> = entries.filterValues { it.counter > 0 }
+        .map { (name, it) -> DataCentreStatus(name, it.counter, it.floor) }
 
     fun merge(status: DataCentreStatus, now: Long) {
         val entry = entries[status.name]
@@ -41,7 +41,8 @@
 
     /** The best state that members of [name] can have. */
     fun state(name: String, now: Long): MemberState {
-        val age = now - (entries[name]?.changedAt ?: now)
+        // A data centre of which nothing was heard yet ages from the first question on.
+        val age = now - entries.getOrPut(name) { Entry(0, 0, now) }.changedAt
         return when {
             age > intervals.dataCentreDead.inWholeMilliseconds -> MemberState.DEAD
             age > intervals.dataCentreSuspect.inWholeMilliseconds -> MemberState.SUSPECT
--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/MemberView.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/MemberView.kt
@@ -32,7 +32,9 @@
 
     private fun member(id: InstanceId, record: MemberRecord, reach: MemberState): Member {
         val state = if (reach.rank > record.state.rank) reach else record.state
-        val revision = maxOf(record.revision, dataCentres.floor(record.dataCentre))
+        val counted = record.state != MemberState.DEAD
+        val floor = if (counted) dataCentres.floor(record.dataCentre) else 0
+        val revision = maxOf(record.revision, floor)
         members[id]?.let {
             val same = it.state == state && it.incarnation == record.incarnation &&
                 it.appliedRevision == revision && it.peerAddress == record.address
--- /dev/null
+++ b/cluster/src/test/kotlin/org/bramleytrestle/cluster/ControlMeasurement.kt
@@ -0,0 +1,211 @@
+package org.bramleytrestle.cluster
+
+import java.lang.management.ManagementFactory
+import kotlin.random.Random
+import kotlinx.serialization.json.JsonObjectBuilder
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.LayerRange
+import org.bramleytrestle.model.LoadReport
+import org.bramleytrestle.model.ModelName
+
+/**
+ * Measures the control traffic of whole clusters on virtual time with real encoded bytes and
+ * prints one JSON line per size. Run by `bin/bench-control`; arguments are member counts.
+ */
+public fun main(args: Array<String>) {
+    val sizes = args.map { it.toInt() }.ifEmpty { listOf(9, 50, 200, 550, 1100) }
+    for (size in sizes) println(ControlMeasurement(size).run())
+}
+
+private class ControlMeasurement(private val size: Int) {
+    private val dataCentres = if (size <= 9) 3 else 15
+    private val random = Random(size)
+    private val servers = maxOf(43, size * 6_300 / 1_100)
+    private val wanted = HashMap<String, Set<String>>()
+    private val simulation = Simulation(size)
+    private var revision = 0L
+
+    fun run(): String {
+        val before = usedHeap()
+        val seeds = List(3) { "${simulation.name(it)}:7000" }
+        repeat(size) {
+            simulation.add(
+                simulation.name(it),
+                "dc-${it % dataCentres}",
+                seeds,
+                wantsReport = { member, server -> wants(member.value, server.value) }
+            )
+        }
+        val startMillis = simulation.runUntil(120_000) { simulation.converged() }
+        simulation.run(30_000)
+        val heap = (usedHeap() - before) / size
+        return buildJsonObject {
+            put("members", size)
+            put("dataCentres", dataCentres)
+            put("startMillis", startMillis)
+            put("heapBytesPerNode", heap)
+            traffic("steady", 60) { simulation.run(60_000) }
+            change()
+            deaths()
+            traffic("churn", 120) { churn(120) }
+            put("convergedAfterChurnMillis", simulation.runUntil(60_000) { simulation.converged() })
+            traffic("changes", 60) { changes(60) }
+            traffic("reports", 20) { reports(20) }
+        }.toString()
+    }
+
+    private fun wants(member: String, server: String): Boolean = server in
+        wanted.getOrPut(member) {
+            val names = List(servers) { "server-$it" }
+            if (servers <= SUBSET) names.toSet() else Rendezvous.top(names, member, SUBSET).toSet()
+        }
+
+    /** Traffic per node and second while [action] runs for [seconds] of virtual time. */
+    private fun JsonObjectBuilder.traffic(name: String, seconds: Int, action: () -> Unit) {
+        val nodes = simulation.nodes.toList()
+        val counted = nodes.map { longArrayOf(it.sentBytes, it.receivedBytes, it.sentFrames) }
+        val cpu = cpuNanos()
+        action()
+        val used = cpuNanos() - cpu
+        val present = simulation.nodes.toSet()
+        val kept = nodes.withIndex().filter { it.value in present }
+        val sent = kept.map { (i, node) -> (node.sentBytes - counted[i][0]) / seconds }
+        val received = kept.map { (i, node) -> (node.receivedBytes - counted[i][1]) / seconds }
+        val frames = kept.map { (i, node) -> (node.sentFrames - counted[i][2]) / seconds }
+        putJsonObject(name) {
+            put("sentMean", sent.average().toInt())
+            put("sentMax", sent.max())
+            put("receivedMean", received.average().toInt())
+            put("receivedMax", received.max())
+            put("framesSentMean", frames.average().toInt())
+            put("framesSentMax", frames.max())
+            put("cpuMicrosPerNodeSecond", used / 1_000 / size / seconds)
+        }
+    }
+
+    private fun JsonObjectBuilder.change() = traffic("change", 5) {
+        val times = ArrayList<Long>()
+        val start = simulation.now
+        val node = simulation.live.random(random)
+        push(node)
+        simulation.runUntil(5_000) {
+            simulation.live.all { it.listener.state.revision >= revision }
+        }?.let { times += it }
+        put("changeInForceMillis", times.firstOrNull() ?: -1)
+        val viewed = simulation.runUntil(20_000) {
+            simulation.live.all { viewer ->
+                viewer.view.values.all { it.appliedRevision >= revision }
+            }
+        }
+        put("changeSeenInForceByAllMillis", viewed?.let { simulation.now - start } ?: -1)
+        simulation.run(maxOf(0, start + 5_000 - simulation.now))
+    }
+
+    private fun push(node: Simulation.Node) {
+        // A patch of ordinary size; audit fields come on top.
+        val change = change(++revision, "r".repeat(REASON_CHARS))
+        if (node.listener.state.revision < revision - 1) simulation.run(2_000)
+        node.listener.onChanges(listOf(change))
+        node.core.pushChanges(listOf(change))
+    }
+
+    private fun changes(seconds: Int) {
+        // 11,000 changes a day.
+        val every = 7_854L
+        var left = seconds * 1_000L
+        while (left > 0) {
+            push(simulation.live.random(random))
+            simulation.run(minOf(left, every))
+            left -= every
+        }
+    }
+
+    private fun JsonObjectBuilder.deaths() {
+        val near = ArrayList<Long>()
+        val all = ArrayList<Long>()
+        repeat(DEATHS) {
+            val victim = simulation.live.random(random)
+            victim.kill()
+            val id = InstanceId(victim.id)
+            val start = simulation.now
+            val neighbours = simulation.live.filter { it.dataCentre == victim.dataCentre }
+            simulation.runUntil(30_000) { neighbours.all { it.dead(id) } }
+            near += simulation.now - start
+            simulation.runUntil(60_000) { simulation.live.all { it.dead(id) } }
+            all += simulation.now - start
+            simulation.add(victim.id, victim.dataCentre, listOf(simulation.live.first().address))
+            simulation.run(10_000)
+        }
+        put("deathInDataCentreMillisMax", near.max())
+        put("deathEverywhereMillisMean", all.average().toInt())
+        put("deathEverywhereMillisMax", all.max())
+    }
+
+    private fun Simulation.Node.dead(id: InstanceId): Boolean =
+        view[id].let { it == null || it.state == MemberState.DEAD }
+
+    /** 2,900 restarts a day and one failure in the window, which is above the ordinary rate. */
+    private fun churn(seconds: Int) {
+        simulation.live.random(random).kill()
+        val every = 86_400_000L * 1_100 / 2_900 / size
+        var left = seconds * 1_000L
+        while (left > 0) {
+            val node = simulation.live.random(random)
+            node.core.leave()
+            simulation.run(2_000)
+            node.stop()
+            simulation.run(1_000)
+            simulation.add(node.id, node.dataCentre, simulation.live.take(3).map { it.address })
+            val step = minOf(left, every) - 3_000
+            if (step > 0) simulation.run(step)
+            left -= maxOf(every, 3_000)
+        }
+    }
+
+    /** Every server is polled once per second by the two reporters of its data centre. */
+    private fun reports(seconds: Int) {
+        val members = simulation.live.first().view.values
+        val pollers = List(servers) { index ->
+            val dataCentre = members.first { it.dataCentre.value == "dc-${index % dataCentres}" }
+            val ids = reporters(members, dataCentre.dataCentre, InstanceId("server-$index"))
+            simulation.live.filter { InstanceId(it.id) in ids }
+        }
+        for (second in 1..seconds) {
+            pollers.forEachIndexed { index, nodes ->
+                nodes.forEach { it.core.shareReports(listOf(report(index, second))) }
+            }
+            simulation.run(1_000)
+        }
+    }
+
+    private fun report(index: Int, sequence: Int) = LoadReport(
+        InstanceId("server-$index"),
+        ModelName("drafter-large"),
+        "2026-11-30",
+        LayerRange(0, 32),
+        "h-80",
+        running = random.nextInt(64),
+        waiting = random.nextInt(16),
+        slots = 64,
+        microsPerLayer = random.nextLong(100, 400),
+        queueMicros = random.nextLong(100_000),
+        takenAtMillis = 1_700_000_000_000 + sequence * 1_000,
+        sequence = sequence.toLong()
+    )
+
+    private fun cpuNanos(): Long = ManagementFactory.getThreadMXBean().currentThreadCpuTime
+
+    private fun usedHeap(): Long {
+        repeat(3) { System.gc() }
+        return Runtime.getRuntime().let { it.totalMemory() - it.freeMemory() }
+    }
+
+    private companion object {
+        const val SUBSET = 128
+        const val DEATHS = 5
+        const val REASON_CHARS = 200
+    }
+}
--- /dev/null
+++ b/cluster/src/test/kotlin/org/bramleytrestle/cluster/DisseminationTest.kt
@@ -0,0 +1,102 @@
+package org.bramleytrestle.cluster
+
+import io.kotest.common.ExperimentalKotest
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlinx.coroutines.test.runTest
+import org.bramleytrestle.model.InstanceId
+
+@OptIn(ExperimentalKotest::class)
+class DisseminationTest {
+    private fun started(count: Int, dataCentres: Int, seed: Int = 1): Simulation =
+        Simulation(seed).also {
+            it.addAll(count, dataCentres)
+            assertNotNull(it.runUntil(30_000) { it.converged() }, "no convergence at the start")
+        }
+
+    private fun Simulation.allAt(revision: Long) =
+        live.all { it.listener.state.revision == revision }
+
+    // Guards against lost pushes, and (in RecordingListener) against a revision that falls.
+    @Test
+    fun `every change reaches all members in order, whatever is lost or frozen`() = runTest {
+        checkAll(PropTestConfig(seed = 11, iterations = 25), Arb.int()) { seed ->
+            val simulation = started(12, 3, seed)
+            simulation.loss = 0.2
+            for (revision in 1L..20L) {
+                val ready = simulation.live.filter { it.listener.state.revision == revision - 1 }
+                if (revision % 5 == 0L) simulation.live.last().frozen = true
+                ready.filter { !it.frozen }.random(simulation.random).change(revision)
+                simulation.run(simulation.random.nextLong(0, 400))
+                if (revision % 5 == 3L) simulation.nodes.forEach { it.thaw() }
+            }
+            simulation.nodes.forEach { it.thaw() }
+            val time = simulation.runUntil(10_000) { simulation.allAt(20) }
+            assertNotNull(time, "seed $seed")
+        }
+    }
+
+    // Guards against a push that one node sends to all, and against slow spreading.
+    @Test
+    fun `a change is in force on 150 members within a second without one sender`() {
+        val simulation = started(150, 15)
+        simulation.run(20_000)
+        val before = simulation.nodes.associateWith { it.sentFrames }
+        simulation.live.first().change(1)
+        val time = simulation.runUntil(5_000) { simulation.allAt(1) }
+        assertTrue(assertNotNull(time) <= 1_000, "$time ms")
+        assertTrue(simulation.nodes.maxOf { it.sentFrames - before.getValue(it) } < 40)
+    }
+
+    // Guards against a member that waits for the next change after a missed push.
+    @Test
+    fun `a missed push is repaired by the next exchange`() {
+        val simulation = started(9, 3)
+        val deaf = simulation.live.last()
+        simulation.cut = { _, b -> b === deaf }
+        simulation.live.first().change(1)
+        simulation.run(300)
+        assertEquals(0, deaf.listener.state.revision)
+        simulation.cut = { _, _ -> false }
+        val time = simulation.runUntil(5_000) { deaf.listener.state.revision == 1L }
+        assertTrue(assertNotNull(time) <= 1_500, "$time ms")
+    }
+
+    // Guards against a node that starts without the platform and stays at an old revision.
+    @Test
+    fun `a node that joins gets the highest revision although no member keeps all changes`() {
+        val simulation = started(9, 3)
+        for (revision in 1L..150L) {
+            simulation.live.first().change(revision)
+            simulation.run(200)
+        }
+        simulation.run(2_000)
+        val late = simulation.add("late", "dc-1", listOf(simulation.live.last().address))
+        assertNotNull(simulation.runUntil(3_000) { late.listener.state.revision == 150L })
+        assertEquals("150", late.listener.state.tree.maxTokens)
+        assertEquals(1, late.listener.statesReceived)
+    }
+
+    // Guards against an operator being told that a change is in force while a member lacks it.
+    @Test
+    fun `members see the lowest applied revision of other data centres`() {
+        val simulation = started(9, 3)
+        val deaf = simulation.live.last()
+        simulation.cut = { a, b -> (a === deaf || b === deaf) }
+        simulation.live.first().change(1)
+        simulation.run(1_000)
+        val viewer = simulation.live.first { it.dataCentre != deaf.dataCentre }
+        assertEquals(0, viewer.view.getValue(InstanceId(deaf.id)).appliedRevision)
+        simulation.cut = { _, _ -> false }
+        val time = simulation.runUntil(10_000) {
+            simulation.live.all { it.view.values.all { it.appliedRevision == 1L } }
+        }
+        assertTrue(assertNotNull(time) <= 5_000, "$time ms")
+    }
+}
--- /dev/null
+++ b/cluster/src/test/kotlin/org/bramleytrestle/cluster/MembershipTest.kt
@@ -0,0 +1,206 @@
+package org.bramleytrestle.cluster
+
+import io.kotest.common.ExperimentalKotest
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlinx.coroutines.test.runTest
+import org.bramleytrestle.model.InstanceId
+
+@OptIn(ExperimentalKotest::class)
+class MembershipTest {
+    private fun started(count: Int, dataCentres: Int, seed: Int = 1): Simulation =
+        Simulation(seed).also {
+            it.addAll(count, dataCentres)
+            assertNotNull(it.runUntil(30_000) { it.converged() }, "no convergence at the start")
+        }
+
+    private fun Simulation.node(index: Int) = nodes.first { it.id == name(index) }
+
+    private fun Simulation.Node.state(of: Simulation.Node) = view[InstanceId(of.id)]?.state
+
+    // Guards against members that stay missing, or that stay alive in a table after their death.
+    @Test
+    fun `tables converge after random joins, deaths, freezes, loss and partitions`() = runTest {
+        checkAll(PropTestConfig(seed = 7, iterations = 25), Arb.int()) { seed ->
+            val simulation = started(12, 3, seed)
+            simulation.loss = 0.02
+            repeat(6) { step -> disturb(simulation, step) }
+            simulation.cut = { _, _ -> false }
+            simulation.nodes.filter { it.frozen }.forEach { it.thaw() }
+            assertNotNull(simulation.runUntil(60_000) { simulation.converged() }, "seed $seed")
+        }
+    }
+
+    private fun disturb(simulation: Simulation, step: Int) {
+        val seeds = simulation.live.map { it.address }.take(3)
+        when (simulation.random.nextInt(5)) {
+            0 -> simulation.add("late-$step", "dc-${step % 3}", seeds)
+            1 -> simulation.live.random(simulation.random).kill()
+            2 -> simulation.live.random(simulation.random).frozen = true
+            3 -> simulation.live.random(simulation.random).also { it.core.leave() }.stop()
+            else -> simulation.cut = { a, b ->
+                a.dataCentre != b.dataCentre && "dc-0" in listOf(a.dataCentre, b.dataCentre)
+            }
+        }
+        simulation.run(simulation.random.nextLong(500, 15_000))
+    }
+
+    // Guards against a slow failure detector: clients of a dead node wait for this.
+    @Test
+    fun `a death is known to all members within two and a half seconds`() {
+        for (seed in 1..10) {
+            val simulation = started(9, 3, seed)
+            val dead = simulation.node(4).also { it.kill() }
+            val time = simulation.runUntil(10_000) {
+                simulation.live.all { it.state(dead) == MemberState.DEAD }
+            }
+            assertTrue(assertNotNull(time) in 1_000..2_500, "seed $seed: $time ms")
+        }
+    }
+
+    // Guards against false deaths: only indirect probes tell a cut link from a dead member.
+    @Test
+    fun `a cut between two members makes nobody suspect`() {
+        val simulation = started(8, 1)
+        val ends = setOf(simulation.node(0), simulation.node(1))
+        simulation.cut = { a, b -> setOf(a, b) == ends }
+        repeat(400) {
+            simulation.run(50)
+            assertTrue(simulation.converged(), "suspicion at ${simulation.now} ms")
+        }
+    }
+
+    // Guards against a death caused by a connection that went silent between two healthy nodes.
+    @Test
+    fun `a silent connection between two members is replaced before either is suspect`() {
+        val simulation = started(2, 1)
+        simulation.silent += setOf(simulation.node(0).address, simulation.node(1).address)
+        repeat(60) {
+            simulation.run(50)
+            assertTrue(simulation.converged(), "suspicion at ${simulation.now} ms")
+        }
+        assertTrue(simulation.silent.isEmpty())
+    }
+
+    // Guards against a frozen member that stays dead in the tables, or that declares all dead.
+    @Test
+    fun `a frozen member that returns refutes its death and suspects nobody`() {
+        val simulation = started(9, 3)
+        val frozen = simulation.node(4).also { it.frozen = true }
+        assertNotNull(
+            simulation.runUntil(5_000) {
+                simulation.live.all { it.state(frozen) == MemberState.DEAD }
+            }
+        )
+        simulation.run(20_000)
+        frozen.thaw()
+        repeat(10) {
+            simulation.run(50)
+            assertEquals(9, frozen.alive.size)
+        }
+        val time = simulation.runUntil(5_000) { simulation.converged() }
+        assertTrue(assertNotNull(time) < 2_000, "$time ms")
+    }
+
+    // Guards against a restarted member that its earlier death or departure keeps out.
+    @Test
+    fun `a member that rejoins under its id wins even if its clock is behind`() {
+        for (startSeconds in listOf(null, 1_000L)) {
+            val simulation = started(9, 3)
+            val old = simulation.node(4)
+            old.core.leave()
+            simulation.run(2_000)
+            old.stop()
+            val seeds = listOf(simulation.node(0).address)
+            val again = startSeconds?.let {
+                simulation.add(old.id, old.dataCentre, seeds, startSeconds = it)
+            } ?: simulation.add(old.id, old.dataCentre, seeds)
+            val time = simulation.runUntil(10_000) { simulation.converged() }
+            assertTrue(assertNotNull(time) < 3_000, "$time ms")
+            assertTrue(again.view.getValue(InstanceId(again.id)).incarnation > 0)
+        }
+    }
+
+    // Guards against two runs of one id that outbid each other for ever.
+    @Test
+    fun `an old run that returns after its replacement gives way`() {
+        val simulation = started(9, 3)
+        val old = simulation.node(4).also { it.frozen = true }
+        simulation.run(15_000)
+        val seeds = listOf(simulation.node(0).address)
+        simulation.add(old.id, old.dataCentre, seeds, address = "moved:7000")
+        simulation.run(5_000)
+        old.thaw()
+        simulation.run(10_000)
+        val others = simulation.nodes.filter { it !== old }
+        others.forEach {
+            assertEquals("moved:7000", it.view.getValue(InstanceId(old.id)).peerAddress)
+            assertEquals(MemberState.ALIVE, it.state(old))
+        }
+    }
+
+    // Guards against callers being sent to a leaving node.
+    @Test
+    fun `the leaving state reaches all members within a second`() {
+        val simulation = started(9, 3)
+        val leaving = simulation.node(4).also { it.core.leave() }
+        val time = simulation.runUntil(5_000) {
+            simulation.nodes.all { it.state(leaving) == MemberState.LEAVING }
+        }
+        assertTrue(assertNotNull(time) <= 1_000, "$time ms")
+        simulation.run(20_000)
+        assertTrue(simulation.nodes.all { it.state(leaving) == MemberState.LEAVING })
+    }
+
+    // Guards against parts that stay apart, and against members of the other part seen as alive.
+    @Test
+    fun `a partition between data centres is noticed and heals by itself`() {
+        val simulation = started(9, 3)
+        val lone = simulation.nodes.filter { it.dataCentre == "dc-2" }
+        simulation.cut = { a, b -> (a in lone) != (b in lone) }
+        val rest = simulation.nodes - lone.toSet()
+        assertNotNull(
+            simulation.runUntil(20_000) {
+                simulation.converged(rest) && simulation.converged(lone)
+            }
+        )
+        simulation.run(3_600_000)
+        simulation.cut = { _, _ -> false }
+        val time = simulation.runUntil(20_000) { simulation.converged() }
+        assertTrue(assertNotNull(time) < 10_000, "$time ms")
+    }
+
+    // Guards against false deaths where two data centres reach each other only through a third.
+    @Test
+    fun `a cut between two of three data centres changes nothing`() {
+        val simulation = started(9, 3)
+        simulation.cut = { a, b -> setOf(a.dataCentre, b.dataCentre) == setOf("dc-0", "dc-1") }
+        simulation.run(60_000)
+        assertTrue(simulation.converged())
+    }
+
+    // Guards against state that only a surviving member could hand on.
+    @Test
+    fun `the cluster survives replacement of all members, one by one and all at once`() {
+        val simulation = started(9, 3)
+        for (old in simulation.live) {
+            old.core.leave()
+            simulation.run(2_000)
+            old.stop()
+            simulation.add("new-${old.id}", old.dataCentre, simulation.live.map { it.address })
+            simulation.run(3_000)
+        }
+        assertNotNull(simulation.runUntil(10_000) { simulation.converged() })
+        val all = simulation.live.onEach { it.kill() }
+        simulation.run(1_000)
+        all.forEach { simulation.add(it.id, it.dataCentre, all.map { it.address }) }
+        assertNotNull(simulation.runUntil(10_000) { simulation.converged() })
+        assertEquals(9, simulation.live.size)
+    }
+}
--- /dev/null
+++ b/cluster/src/test/kotlin/org/bramleytrestle/cluster/ReportExchangeTest.kt
@@ -0,0 +1,101 @@
+package org.bramleytrestle.cluster
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.LayerRange
+import org.bramleytrestle.model.LoadReport
+import org.bramleytrestle.model.ModelName
+import org.bramleytrestle.model.OrganisationId
+
+class ReportExchangeTest {
+    private fun started() = Simulation(3).also {
+        it.addAll(3, 1)
+        it.run(3_000)
+    }
+
+    private fun report(sequence: Long, running: Int = 1, takenAt: Long = sequence * 100) =
+        LoadReport(
+            InstanceId("server"),
+            ModelName("drafter"),
+            "1",
+            LayerRange(0, 32),
+            "h-80",
+            running,
+            2,
+            64,
+            300,
+            400,
+            true,
+            takenAt,
+            sequence
+        )
+
+    // Guards against fields that the compact form loses.
+    @Test
+    fun `reports arrive whole with and without the fields that seldom change`() {
+        val simulation = started()
+        val (first, second, third) = simulation.live
+        val sent = List(3) { report(it + 1L, running = it) }
+        for (report in sent) {
+            first.core.shareReports(listOf(report))
+            simulation.run(500)
+        }
+        assertEquals(sent, second.listener.reports.toList())
+        assertEquals(sent, third.listener.reports.toList())
+        assertTrue(first.listener.reports.isEmpty())
+    }
+
+    // Guards against an old load that replaces a newer one, and a restarted server that is ignored.
+    @Test
+    fun `an older report is dropped unless the server restarted`() {
+        val simulation = started()
+        val (first, second, third) = simulation.live
+        first.core.shareReports(listOf(report(5)))
+        simulation.run(500)
+        third.core.shareReports(listOf(report(4), report(5)))
+        simulation.run(500)
+        assertEquals(listOf(report(5)), second.listener.reports.toList())
+        val restarted = report(1, takenAt = 60_000)
+        third.core.shareReports(listOf(restarted))
+        simulation.run(500)
+        assertEquals(restarted, second.listener.reports.last())
+    }
+
+    // Guards against reports that use up the traffic of the settings and the membership.
+    @Test
+    fun `reports stay within their byte budget and the newest one wins`() {
+        val simulation = started()
+        val (first, second) = simulation.live
+        val before = first.sentBytes
+        for (sequence in 1L..50L) {
+            val batch = List(200) { report(sequence).copy(instance = InstanceId("server-$it")) }
+            first.core.shareReports(batch)
+            simulation.run(200)
+        }
+        assertTrue(first.sentBytes - before < 10 * 8 * 1024 + 30_000, "${first.sentBytes - before}")
+        simulation.run(20_000)
+        assertEquals(50, second.listener.reports.last().sequence)
+    }
+
+    // Guards against demand and grants that reach the wrong member.
+    @Test
+    fun `demand and grants reach the one member they are for`() {
+        val simulation = started()
+        val (first, second, third) = simulation.live
+        val organisation = OrganisationId("lab-a")
+        first.core.sendDemand(InstanceId(second.id), listOf(LimitDemand(organisation, 5.0)))
+        second.core.sendGrants(InstanceId(first.id), listOf(LimitGrant(organisation, 4.0, 1_000)))
+        simulation.run(100)
+        assertEquals(
+            listOf(InstanceId(first.id) to LimitDemand(organisation, 5.0)),
+            second.listener.demand.toList()
+        )
+        assertEquals(
+            listOf(InstanceId(second.id) to LimitGrant(organisation, 4.0, 1_000)),
+            first.listener.grants.toList()
+        )
+        assertTrue(third.listener.run { demand.isEmpty() && grants.isEmpty() })
+    }
+}
