Add the node-driven runner, shared probes and the tests of both runners

Cause: the node must find the hop that failed while the first engine still sends pings, and only a replacement of the failed range avoids running the others again. Change: NodeDrivenChainRunner with an optional replaceHop function and recorded stage inputs; StallWatch probes after one heartbeat without progress on a new connection, one probe per address and heartbeat shared by all requests; runners are chosen by RunnerKind. HttpServiceClient gives up early only if the server is silent on new connections too. A killed stand-in closes its channels before its coroutines and gives no error answer. A trial that closed Jetty's endpoints with a handler for cancellations made the test run hang (over 9 minutes, ended by hand); the cause was not traced.

--- a/backend/src/main/kotlin/org/bramleytrestle/backend/Backends.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/Backends.kt
@@ -1,16 +1,35 @@
 package org.bramleytrestle.backend
 
-/** The clients of backend servers, which share their connections. */
-public class Backends private constructor(private val pools: HttpPools, options: BackendOptions) :
-    AutoCloseable {
-    /** The engines forward to each other and the caller reads one stream. */
-    public val engineForwarded: ChainRunner = EngineForwardedChainRunner(pools, options)
+import kotlin.time.TimeSource
+import org.bramleytrestle.model.StageHop
 
-    public val services: ServiceClient = HttpServiceClient(pools, options)
+/** The clients of backend servers, which share their connections and probes. */
+public class Backends private constructor(
+    private val pools: HttpPools,
+    private val options: BackendOptions
+) : AutoCloseable {
+    private val probes = Probes(pools, options, TimeSource.Monotonic)
+
+    public val services: ServiceClient = HttpServiceClient(pools, options, probes)
 
     public val control: EngineControl = HttpEngineControl(pools, options)
 
+    /**
+     * A runner of chains; it holds no state of its own, so one can be made for each request.
+     *
+     * @param replaceHop names another engine for the layers of a failed hop; only used by
+     * [RunnerKind.NODE_DRIVEN].
+     */
+    public fun runner(
+        kind: RunnerKind = RunnerKind.ENGINE_FORWARDED,
+        replaceHop: (suspend (failed: StageHop) -> StageHop?)? = null
+    ): ChainRunner = when (kind) {
+        RunnerKind.ENGINE_FORWARDED -> EngineForwardedChainRunner(pools, options, probes)
+        RunnerKind.NODE_DRIVEN -> NodeDrivenChainRunner(pools, options, probes, replaceHop)
+    }
+
     override fun close() {
+        probes.close()
         pools.close()
     }
 
--- a/backend/src/main/kotlin/org/bramleytrestle/backend/EngineForwardedChainRunner.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/EngineForwardedChainRunner.kt
@@ -13,7 +13,6 @@
 import kotlinx.coroutines.flow.buffer
 import kotlinx.coroutines.flow.callbackFlow
 import kotlinx.coroutines.launch
-import kotlinx.serialization.SerializationException
 import okhttp3.Call
 import okhttp3.Callback
 import okhttp3.Request
@@ -33,18 +32,19 @@
 internal class EngineForwardedChainRunner(
     private val pools: HttpPools,
     private val options: BackendOptions,
+    private val probes: Probes,
     private val clock: TimeSource = TimeSource.Monotonic
 ) : ChainRunner {
     private val engines = EngineCalls(pools, options)
 
     override fun run(work: ChainWork): Flow<StreamEvent> {
-        checkPlan(work)
+        work.checkPlan()
         return callbackFlow {
             val attempt = Attempt(work, this)
             attempt.start()
             launch { attempt.watch() }
             awaitClose { attempt.close() }
-        }.buffer(work.maxTokens - work.emitted.size + TERMINAL_EVENTS)
+        }.buffer(work.maxEvents)
     }
 
     private inner class Attempt(
@@ -56,46 +56,21 @@
         private val record = SendRecord()
         private val ended = AtomicBoolean()
         private val completed = AtomicBoolean()
-        private val progress = AtomicReference<TimeMark>(clock.markNow())
+        private val stall = StallWatch(probes, options, clock)
         private var next = work.emitted.size
 
-        private val call: Call = pools.client(first.address).newBuilder()
-            .readTimeout(options.inactivityBound.toJavaDuration())
-            .build()
-            .newCall(
-                Request.Builder()
-                    .url(engines.url(first.address, "/v1/stream"))
-                    .tag(SendRecord::class.java, record)
-                    .post(OneShotBody(body().toByteArray(), JsonType))
-                    .build()
-            )
+        private val call: Call = pools.streamClient(first.address).newCall(
+            Request.Builder()
+                .url(engines.url(first.address, "/v1/stream"))
+                .record(record)
+                .post(OneShotBody(body().toByteArray(), JsonType))
+                .build()
+        )
 
         fun start() = call.enqueue(this)
 
-        /** Probes the hops whenever no token came for the inactivity bound. */
-        suspend fun watch() {
-            var stalledSince = progress.get()
-            while (true) {
-                val last = progress.get()
-                val quiet = last.elapsedNow()
-                if (quiet < options.inactivityBound) {
-                    stalledSince = last
-                    delay(options.inactivityBound - quiet)
-                    continue
-                }
-                val dead = work.hops.firstOrNull { engines.probe(it.address) != null }
-                if (progress.get() !== last) continue
-                if (dead != null) {
-                    fail(dead, HopFailure.SILENT)
-                    return
-                }
-                if (stalledSince.elapsedNow() > options.stallBound) {
-                    fail(first, HopFailure.SILENT)
-                    return
-                }
-                delay(options.inactivityBound / 2)
-            }
-        }
+        /** Fails the attempt when tokens stop although the first engine still sends pings. */
+        suspend fun watch() = fail(stall.silentHop { work.hops }, HopFailure.SILENT)
 
         fun close() {
             call.cancel()
@@ -110,7 +85,7 @@
                 response.use(::read)
             } catch (e: IOException) {
                 fail(first, if (e.isTimeout()) HopFailure.SILENT else HopFailure.BROKEN)
-            } catch (e: SerializationException) {
+            } catch (e: IllegalArgumentException) {
                 fail(first, HopFailure.MISMATCH)
             }
         }
@@ -140,7 +115,7 @@
                 return
             }
             next++
-            progress.set(clock.markNow())
+            stall.progressed()
             scope.trySend(StreamEvent.Token(event))
         }
 
@@ -190,29 +165,4 @@
             )
         )
     }
-
-    private companion object {
-        const val TERMINAL_EVENTS = 1
-    }
-}
-
-/** A plan that does not cover the layers is a fault of this program, not of an engine. */
-internal fun checkPlan(work: ChainWork) {
-    val layers = work.hops.map { it.layers }
-    val covered = layers.isNotEmpty() && LayerRange.coversExactly(layers, layers.last().until)
-    Invariants.check("planCoversLayers", covered) {
-        "request ${work.request} attempt ${work.attempt}: layers $layers have a gap or overlap"
-    }
-}
-
-/** The failure that the first hop states for a hop. */
-internal fun wireFailure(error: String): HopFailure = when (error) {
-    "leaving" -> HopFailure.LEAVING
-    "full" -> HopFailure.FULL
-    "unreachable" -> HopFailure.UNREACHABLE
-    "broken" -> HopFailure.BROKEN
-    "silent" -> HopFailure.SILENT
-    "mismatch" -> HopFailure.MISMATCH
-    "kvMismatch" -> HopFailure.KV_MISMATCH
-    else -> HopFailure.ENGINE_ERROR
 }
--- a/backend/src/main/kotlin/org/bramleytrestle/backend/HttpEngineControl.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/HttpEngineControl.kt
@@ -14,8 +14,11 @@
 ) : EngineControl {
     private val engines = EngineCalls(pools, options)
 
-    override suspend fun report(address: String): Result<LoadReport, HopFailure> =
-        engines.report(address)
+    override suspend fun report(address: String): Result<LoadReport, HopFailure> = engines.get(
+        pools.client(address),
+        engines.url(address, "/v1/report"),
+        options.inactivityBound
+    ) { WireJson.decodeFromString<LoadReport>(it) }
 
     override suspend fun cacheEvents(
         address: String,
@@ -50,7 +53,7 @@
     }
 
     override suspend fun cancel(address: String, request: RequestId, attempt: Int) {
-        val url = engines.cancelUrl(address, request.value, attempt)
+        val url = engines.requestUrl(address, request.value, attempt).build()
         val delete = Request.Builder().url(url).delete().build()
         send(address, delete, options.inactivityBound) { _, _ -> }
     }
@@ -75,7 +78,7 @@
         bound: Duration,
         read: (status: Int, body: String) -> T
     ): T? = try {
-        with(engines) { pools.client(address).bounded(bound) }.newCall(request)
+        pools.client(address).newCall(request).bounded(bound)
             .await { read(it.code, it.body.string()) }
     } catch (e: IOException) {
         if (e.isTimeout()) pools.evict(address)
--- a/backend/src/main/kotlin/org/bramleytrestle/backend/HttpPools.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/HttpPools.kt
@@ -13,6 +13,8 @@
  * those of the others. No client repeats a call or follows a redirect by itself.
  */
 internal class HttpPools(private val options: BackendOptions) : AutoCloseable {
+    private class Clients(val calls: OkHttpClient, val streams: OkHttpClient)
+
     private val executor = ThreadPoolExecutor(
         0,
         Int.MAX_VALUE,
@@ -32,7 +34,7 @@
         .followRedirects(false)
         .followSslRedirects(false)
         .connectTimeout(options.connectBound.toJavaDuration())
-        .writeTimeout(options.inactivityBound.toJavaDuration())
+        .readTimeout(0, TimeUnit.SECONDS)
         .addNetworkInterceptor(RetryAfterGuard)
         .eventListenerFactory { call ->
             call.request().tag(SendRecord::class.java) ?: SendRecord()
@@ -44,34 +46,39 @@
         .build()
 
     private val clients =
-        object : LinkedHashMap<String, OkHttpClient>(INITIAL_ADDRESSES, LOAD_FACTOR, true) {
-            override fun removeEldestEntry(eldest: Map.Entry<String, OkHttpClient>): Boolean =
+        object : LinkedHashMap<String, Clients>(INITIAL_ADDRESSES, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: Map.Entry<String, Clients>): Boolean =
                 size > MAX_ADDRESSES
         }
 
-    fun client(address: String): OkHttpClient = synchronized(clients) {
-        clients.getOrPut(address) {
-            base.newBuilder()
-                .connectionPool(
-                    ConnectionPool(IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
-                )
-                .build()
-        }
-    }
+    /** For single calls; their bounds are set for each call. */
+    fun client(address: String): OkHttpClient = clients(address).calls
+
+    /** For streams, which fail when no byte comes for the inactivity bound. */
+    fun streamClient(address: String): OkHttpClient = clients(address).streams
 
     /** A client that opens a new connection for each call and keeps none. */
     fun freshClient(): OkHttpClient = fresh
 
     /** Closes the idle connections to [address], which may be as silent as the one that failed. */
     fun evict(address: String) {
-        synchronized(clients) { clients[address] }?.connectionPool?.evictAll()
+        synchronized(clients) { clients[address] }?.calls?.connectionPool?.evictAll()
     }
 
     override fun close() {
-        synchronized(clients) { clients.values.forEach { it.connectionPool.evictAll() } }
+        synchronized(clients) { clients.values.forEach { it.calls.connectionPool.evictAll() } }
         executor.shutdown()
     }
 
+    private fun clients(address: String): Clients = synchronized(clients) {
+        clients.getOrPut(address) {
+            val pool = ConnectionPool(IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
+            val calls = base.newBuilder().connectionPool(pool).build()
+            val bound = options.inactivityBound.toJavaDuration()
+            Clients(calls, calls.newBuilder().readTimeout(bound).build())
+        }
+    }
+
     private companion object {
         const val KEEP_ALIVE_SECONDS = 30L
         const val IDLE_CONNECTIONS = 64
--- a/backend/src/main/kotlin/org/bramleytrestle/backend/HttpServiceClient.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/HttpServiceClient.kt
@@ -3,7 +3,9 @@
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.TimeSource
-import kotlin.time.toJavaDuration
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
 import okhttp3.MediaType.Companion.toMediaTypeOrNull
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -16,21 +18,34 @@
 internal class HttpServiceClient(
     private val pools: HttpPools,
     private val options: BackendOptions,
+    private val probes: Probes,
     private val clock: TimeSource = TimeSource.Monotonic
 ) : ServiceClient {
     override suspend fun call(call: ServiceCall): ServiceOutcome {
+        if (!call.mayRepeat) return supervised(call)
         val started = clock.markNow()
-        val outcome = send(call, pools.client(call.address), firstBound(call))
-        val failure = (outcome as? ServiceOutcome.Unknown)?.failure
-        val repeats = call.mayRepeat && failure in REPEATED
+        val bound = minOf(call.timeout, options.inactivityBound)
+        val outcome = send(call, pools.client(call.address), bound)
         val remaining = call.timeout - started.elapsedNow()
-        if (!repeats || !remaining.isPositive()) return outcome
+        val failure = (outcome as? ServiceOutcome.Unknown)?.failure
+        if (failure !in REPEATED || !remaining.isPositive()) return outcome
         return send(call, pools.freshClient(), remaining)
     }
 
-    /** A call that may be repeated leaves time for a second one on a new connection. */
-    private fun firstBound(call: ServiceCall): Duration =
-        if (call.mayRepeat) minOf(call.timeout, options.inactivityBound) else call.timeout
+    /** Gives up before the call's own bound if the server is silent on new connections too. */
+    private suspend fun supervised(call: ServiceCall): ServiceOutcome = coroutineScope {
+        val running = async { send(call, pools.client(call.address), call.timeout) }
+        var outcome: ServiceOutcome? = null
+        while (outcome == null) {
+            outcome = withTimeoutOrNull(options.heartbeat) { running.await() }
+            if (outcome == null && probes.failure(call.address) != null && running.isActive) {
+                running.cancel()
+                pools.evict(call.address)
+                outcome = ServiceOutcome.Unknown(HopFailure.SILENT)
+            }
+        }
+        outcome
+    }
 
     private suspend fun send(
         call: ServiceCall,
@@ -38,33 +53,23 @@
         bound: Duration
     ): ServiceOutcome {
         val record = SendRecord()
-        val bounded = client.newBuilder()
-            .callTimeout(bound.toJavaDuration())
-            .readTimeout(bound.toJavaDuration())
-            .build()
         return try {
-            bounded.newCall(request(call, record)).await { read(call, it) }
+            client.newCall(request(call, record)).bounded(bound).await { read(call, it) }
         } catch (e: IOException) {
             val failure = record.failureOf(e)
-            when {
-                failure.notRun -> ServiceOutcome.NotRun(failure)
-
-                e.isTimeout() -> {
-                    pools.evict(call.address)
-                    ServiceOutcome.Unknown(HopFailure.SILENT)
-                }
-
-                else -> ServiceOutcome.Unknown(failure)
+            if (failure == HopFailure.SILENT) pools.evict(call.address)
+            if (failure.notRun) {
+                ServiceOutcome.NotRun(failure)
+            } else {
+                ServiceOutcome.Unknown(failure)
             }
         }
     }
 
     private fun request(call: ServiceCall, record: SendRecord): Request {
-        val builder = Request.Builder()
-            .url(call.address + call.path)
-            .tag(SendRecord::class.java, record)
+        val builder = Request.Builder().url(call.address + call.path).record(record)
         val dropped = HopByHop.names(call.headers)
-        call.headers.filter { (name, _) -> name.lowercase() !in dropped }
+        call.headers.filterKeys { it.lowercase() !in dropped }
             .forEach { (name, value) -> builder.header(name, value) }
         builder.header(REQUEST_ID, call.request.value)
         val type = call.headers.entries
--- /dev/null
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/Probes.kt
@@ -0,0 +1,58 @@
+package org.bramleytrestle.backend
+
+import com.github.michaelbull.result.getError
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+
+/**
+ * Asks servers for a report on a new connection, because an open one can be silent while new ones
+ * work. All waiting requests share one probe per address and heartbeat, so that a queue at a slow
+ * server does not multiply into probes.
+ */
+internal class Probes(
+    private val pools: HttpPools,
+    private val options: BackendOptions,
+    private val clock: TimeSource
+) : AutoCloseable {
+    private class Probe(val startedAt: TimeMark, val failure: Deferred<HopFailure?>)
+
+    private val engines = EngineCalls(pools, options)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val probes = ConcurrentHashMap<String, Probe>()
+
+    /** Why the server gave no answer within a heartbeat, or null if it gave any. */
+    suspend fun failure(address: String): HopFailure? = probes.compute(address) { _, last ->
+        last?.takeIf { it.startedAt.elapsedNow() < options.heartbeat } ?: start(address)
+    }!!.failure.await()
+
+    override fun close() {
+        scope.cancel()
+    }
+
+    private fun start(address: String): Probe {
+        if (probes.size > MAX_PROBES) forget()
+        val failure = scope.async {
+            val url = engines.url(address, "/v1/report")
+            engines.get(pools.freshClient(), url, options.heartbeat) {}.getError()
+                ?.takeIf { it in DEAD }
+        }
+        return Probe(clock.markNow(), failure)
+    }
+
+    private fun forget() {
+        scope.launch { probes.values.removeIf { it.startedAt.elapsedNow() > options.heartbeat } }
+    }
+
+    private companion object {
+        const val MAX_PROBES = 4096
+        val DEAD = setOf(HopFailure.UNREACHABLE, HopFailure.BROKEN, HopFailure.SILENT)
+    }
+}
--- a/backend/src/main/kotlin/org/bramleytrestle/backend/SendRecord.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/SendRecord.kt
@@ -1,6 +1,6 @@
 package org.bramleytrestle.backend
 
-import java.net.SocketTimeoutException
+import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
 import okhttp3.Call
 import okhttp3.EventListener
@@ -17,9 +17,9 @@
     }
 
     /** Kind of the failure [cause] of this call. */
-    fun failureOf(cause: Throwable): HopFailure = when {
+    fun failureOf(cause: IOException): HopFailure = when {
         sends == 0 -> HopFailure.UNREACHABLE
-        cause is SocketTimeoutException -> HopFailure.SILENT
+        cause.isTimeout() -> HopFailure.SILENT
         else -> HopFailure.BROKEN
     }
 }
--- a/backend/src/test/kotlin/org/bramleytrestle/backend/ChainRunnerContract.kt
+++ b/backend/src/test/kotlin/org/bramleytrestle/backend/ChainRunnerContract.kt
@@ -2,25 +2,174 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.collect
+import kotlinx.coroutines.flow.take
 import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.bramleytrestle.model.ModelName
+import org.bramleytrestle.standins.engine.EngineFaults
+import org.bramleytrestle.standins.engine.EngineServer
 
 /** What both runners must do. */
 internal abstract class ChainRunnerContract {
     abstract fun runner(backends: Backends): ChainRunner
 
+    private class FaultCase(
+        val hop: Int,
+        val expected: HopFailure,
+        val cause: (EngineServer) -> Unit
+    )
+
+    protected fun <T> running(
+        chain: EngineChain = EngineChain(),
+        test: suspend (EngineChain, ChainRunner) -> T
+    ): T = chain.use {
+        Backends.http().use { backends ->
+            runBlocking { withTimeout(TEST_BOUND) { test(chain, runner(backends)) } }
+        }
+    }
+
+    protected fun List<StreamEvent>.ids() = filterIsInstance<StreamEvent.Token>().map {
+        it.event.id
+    }
+
+    protected suspend fun EngineChain.assertNoState() = withTimeout(TEST_BOUND) {
+        while (engines.any { it.counts.activeRequests > 0 }) delay(POLL)
+    }
+
+    @Test
+    fun `a layer skipped or run twice changes the answer`() = running { chain, runner ->
+        for ((index, maxTokens) in listOf(0, 1, 40).withIndex()) {
+            val work = chain.work(maxTokens = maxTokens, request = "r$index")
+            val expected = chain.expected(work).map { it.id }
+            val events = runner.run(work).toList()
+            assertEquals(expected, events.ids())
+            val reason = if (expected.size == maxTokens) "length" else "stop"
+            assertEquals(StreamEvent.Done(expected.size, reason), events.last())
+        }
+        chain.assertNoState()
+        assertEquals(0, chain.engines.sumOf { it.counts.violations })
+    }
+
+    @Test
+    fun `a resumed attempt repeats or omits a token`() = running { chain, runner ->
+        val whole = chain.work(maxTokens = 30)
+        val expected = chain.expected(whole).map { it.id }
+        for (known in listOf(1, 7, expected.size)) {
+            val work = chain.work(
+                emitted = expected.take(known),
+                maxTokens = 30,
+                attempt = known + 1
+            )
+            val events = runner.run(work).toList()
+            assertEquals(expected.drop(known), events.ids())
+            val indexes = events.filterIsInstance<StreamEvent.Token>().map { it.event.index }
+            assertEquals((known..<expected.size).toList(), indexes)
+            assertEquals(expected.size, (events.last() as StreamEvent.Done).count)
+        }
+    }
+
+    @Test
+    fun `answers of concurrent requests are mixed up`() = running { chain, runner ->
+        coroutineScope {
+            (0..<24).map { number ->
+                async {
+                    val work = chain.work("prompt $number", request = "r$number")
+                    assertEquals(
+                        chain.expected(work).map { it.id },
+                        runner.run(work).toList().ids()
+                    )
+                }
+            }.awaitAll()
+        }
+        assertEquals(0, chain.engines.sumOf { it.counts.violations })
+    }
+
     @Test
-    fun `an answer that skips, repeats or reorders a layer is noticed`() =
-        EngineChain().use { chain ->
-            Backends.http().use { backends ->
+    fun `a fault is blamed on the wrong hop or not noticed`() {
+        val cases = listOf(
+            FaultCase(2, HopFailure.BROKEN) { it.faults(EngineFaults(dieAfterSteps = 4)) },
+            FaultCase(3, HopFailure.BROKEN) { it.faults(EngineFaults(dropConnections = 1.0)) },
+            FaultCase(2, HopFailure.SILENT) { it.faults(EngineFaults(freezeAfterSteps = 4)) },
+            FaultCase(0, HopFailure.SILENT) { it.faults(EngineFaults(freezeAfterSteps = 4)) },
+            FaultCase(0, HopFailure.SILENT) { it.faults(EngineFaults(freeze = true)) },
+            FaultCase(1, HopFailure.MISMATCH) { it.faults(EngineFaults(crossedAnswers = 1.0)) },
+            FaultCase(0, HopFailure.MISMATCH) { it.faults(EngineFaults(crossedAnswers = 1.0)) },
+            FaultCase(3, HopFailure.LEAVING) { it.leaving(true) },
+            FaultCase(0, HopFailure.LEAVING) { it.leaving(true) },
+            FaultCase(2, HopFailure.UNREACHABLE) { it.kill() },
+            FaultCase(0, HopFailure.UNREACHABLE) { it.kill() }
+        )
+        for ((index, case) in cases.withIndex()) {
+            running { chain, runner ->
+                case.cause(chain.engines[case.hop])
+                val started = TimeSource.Monotonic.markNow()
                 val work = chain.work(maxTokens = 40)
-                val events = runBlocking { runner(backends).run(work).toList() }
-                val expected = chain.expected(work)
-                val tokens = events.filterIsInstance<StreamEvent.Token>().map { it.event }
-                assertEquals(expected.map { it.id }, tokens.map { it.id })
-                val reason = if (expected.size == 40) "length" else "stop"
-                assertEquals(StreamEvent.Done(expected.size, reason), events.last())
-                assertEquals(0, chain.engines.sumOf { it.counts.violations })
+                val events = runner.run(work).toList()
+                val hop = chain.hops[case.hop].instance
+                assertEquals(StreamEvent.Failed(hop, case.expected), events.last(), "case $index")
+                assertEquals(chain.expected(work).map { it.id }.take(events.size - 1), events.ids())
+                assertTrue(started.elapsedNow() < FAILURE_BOUND, "case $index took too long")
             }
         }
+    }
+
+    @Test
+    fun `a request for another version gets an answer`() = running { chain, runner ->
+        val work = chain.work().copy(model = ModelName("other"))
+        val failed = StreamEvent.Failed(chain.hops[0].instance, HopFailure.ENGINE_ERROR)
+        assertEquals(listOf<StreamEvent>(failed), runner.run(work).toList())
+    }
+
+    @Test
+    fun `a slow hop that still answers is given up`() = running { chain, runner ->
+        chain.engines[1].faults(EngineFaults(slowFactor = 7000.0))
+        val work = chain.work(maxTokens = 1)
+        assertEquals(chain.expected(work).map { it.id }, runner.run(work).toList().ids())
+    }
+
+    @Test
+    fun `engines go on working for a caller that has left`() = running { chain, runner ->
+        runner.run(chain.work(maxTokens = 100_000, prompt = LONG)).take(3).collect()
+        chain.assertNoState()
+        assertTrue(chain.engines.all { it.counts.cancelled == 1L })
+        assertTrue(chain.engines.all { it.counts.streams == 0 })
+    }
+
+    @Test
+    fun `a slow collector holds the engines`() = running { chain, runner ->
+        val work = chain.work(maxTokens = 30)
+        val expected = chain.expected(work).size
+        val held = CompletableDeferred<Unit>()
+        val events = mutableListOf<StreamEvent>()
+        runner.run(work).collect { event ->
+            if (events.isEmpty()) {
+                chain.assertNoState()
+                assertTrue(chain.engines.all { it.counts.steps >= expected })
+                held.complete(Unit)
+            }
+            events += event
+        }
+        assertTrue(held.isCompleted)
+        assertEquals(expected, events.ids().size)
+    }
+
+    protected companion object {
+        val TEST_BOUND = 30.seconds
+        val FAILURE_BOUND = 4.seconds
+        val POLL = 10.milliseconds
+
+        /** A prompt whose answer in the stand-ins' model is long enough to be cancelled. */
+        const val LONG = "cancel me"
+    }
 }
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/HttpStandin.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/HttpStandin.kt
@@ -3,14 +3,16 @@
 import io.javalin.Javalin
 import io.javalin.config.RoutesConfig
 import io.javalin.http.Context
+import java.io.Closeable
 import java.util.concurrent.CompletableFuture
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.future.future
+import kotlinx.coroutines.launch
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest
 import org.eclipse.jetty.server.HttpConnectionFactory
 import org.eclipse.jetty.server.ServerConnector
@@ -60,10 +62,19 @@
 
     /** Answers [ctx] by [handler], which does not start while the stand-in is frozen. */
     fun answer(ctx: Context, handler: suspend () -> Unit) {
-        val done: CompletableFuture<Unit> = scope.future {
-            thawed()
-            handler()
-            thawed()
+        val done = CompletableFuture<Unit>()
+        scope.launch {
+            try {
+                thawed()
+                handler()
+                thawed()
+                done.complete(Unit)
+            } catch (e: CancellationException) {
+                // A killed stand-in gives no answer, not even an error.
+                throw e
+            } catch (e: Exception) {
+                done.completeExceptionally(e)
+            }
         }
         ctx.future { done }
     }
@@ -74,11 +85,14 @@
         request.connectionMetaData.connection.endPoint.close()
     }
 
-    /** Ends at once: all connections are cut and the port is closed. */
+    /**
+     * Ends at once: the port and all connections are closed. Channels are closed directly, because
+     * closing Jetty's endpoints runs callbacks of pending answers in this thread.
+     */
     fun kill() {
-        scope.cancel()
         connector.close()
-        connector.connectedEndPoints.forEach { it.close() }
+        connector.connectedEndPoints.forEach { (it.transport as? Closeable)?.close() }
+        scope.cancel()
         Thread { javalin.stop() }.apply { isDaemon = true }.start()
     }
 
