--- a/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
@@ -23,6 +23,7 @@
 import org.bramleytrestle.model.Invariants
 import org.bramleytrestle.model.OrganisationId
 import org.bramleytrestle.model.Rendezvous
+import org.bramleytrestle.model.Side
 import org.bramleytrestle.node.config.NodeConfig
 import org.bramleytrestle.node.config.RoutingMode
 import org.bramleytrestle.node.drain.Drain
@@ -49,14 +50,21 @@
 import org.bramleytrestle.platform.HttpObjectStore
 import org.bramleytrestle.platform.InstanceList
 import org.bramleytrestle.platform.PlatformCallBudget
+import org.bramleytrestle.routing.ChainPlanner
 import org.bramleytrestle.routing.DefaultChainPlanner
 import org.bramleytrestle.routing.DefaultRequestRouter
 import org.bramleytrestle.routing.FifoRequestRouter
 import org.bramleytrestle.routing.GrantAllocator
 import org.bramleytrestle.routing.OrganisationLimiter
+import org.bramleytrestle.routing.PrefixCacheIndex
 import org.bramleytrestle.routing.RequestRouter
+import org.bramleytrestle.routing.RoundRobinPlanner
 import org.bramleytrestle.routing.RoutingSnapshot
+import org.bramleytrestle.routing.ServerSubset
+import org.bramleytrestle.routing.SideSplit
+import org.bramleytrestle.routing.Work
 import org.bramleytrestle.settings.Change
+import org.bramleytrestle.settings.EffectiveSettings
 
 private val log = KotlinLogging.logger {}
 
@@ -84,7 +92,15 @@
     private val registry = ServerRegistry(clock)
     private val holder = SettingsHolder(::settingsApplied)
     private val backends = Backends.http()
-    private val planner = DefaultChainPlanner(random)
+    private val prefixes = PrefixCacheIndex()
+    private val planner: ChainPlanner = when (config.routing) {
+        RoutingMode.STANDARD -> DefaultChainPlanner(
+            subset = ServerSubset(id, config.serverSubset),
+            hints = prefixes::hints,
+            random = random
+        )
+        RoutingMode.BASELINE -> RoundRobinPlanner()
+    }
     private val limiter = OrganisationLimiter(id, clock, ::homes)
     private val allocator = GrantAllocator(id, clock, ::homes)
     private val router: RequestRouter = router(random)
@@ -156,13 +172,17 @@
             planner = planner,
             clock = clock,
             random = random,
+            split = ::side,
             limiter = limiter,
             scope = scope,
             maxQueued = config.queueLimit
         )
-        RoutingMode.BASELINE -> FifoRequestRouter(planner, clock)
+        RoutingMode.BASELINE -> FifoRequestRouter(planner, clock, ::side)
     }
 
+    private fun side(work: Work, settings: EffectiveSettings): Side =
+        SideSplit.side(work.organisation, work.service, work.sideKey, settings.newShare)
+
     /** Queued work may run now. */
     private fun reconsider() = when (val router = router) {
         is DefaultRequestRouter -> router.onSnapshot()
@@ -184,7 +204,13 @@
         scope.launch { callRecords.run() }
         scope.launch { limits.run() }
         scope.launch {
-            ReportPoller(backends.control, registry, ::polls, cluster::shareReports).run(scope)
+            ReportPoller(
+                control = backends.control,
+                registry = registry,
+                prefixes = prefixes,
+                assigned = ::polls,
+                share = cluster::shareReports
+            ).run(scope)
         }
         operatorListener.start()
         callerListener.start()
@@ -239,7 +265,7 @@
     private fun admin() = AdminHandlers(
         auth = OperatorAuth(config.operatorTokens),
         holder = holder,
-        writer = ChangeWriter(holder, changeLog),
+        writer = ChangeWriter(holder, changeLog, scope),
         status = ::status,
         readChanges = { after, limit -> changeLog.readAfter(after, limit) },
         drain = ::startDrain
--- a/node/src/main/kotlin/org/bramleytrestle/node/http/CallerRoutes.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/CallerRoutes.kt
@@ -9,6 +9,7 @@
 import org.bramleytrestle.backend.ChainRunner
 import org.bramleytrestle.backend.ChainWork
 import org.bramleytrestle.backend.HopFailure
+import org.bramleytrestle.backend.RunnerKind
 import org.bramleytrestle.cluster.Member
 import org.bramleytrestle.model.ErrorKind
 import org.bramleytrestle.model.Failure
@@ -97,10 +98,12 @@
         onFailure = onFailure
     )
 
-    private fun runner(): ChainRunner = when (config.chainMode) {
-        ChainMode.ENGINE_FORWARDED -> backends.engineForwarded
-        ChainMode.NODE_DRIVEN -> backends.engineForwarded
-    }
+    private fun runner(): ChainRunner = backends.runner(
+        when (config.chainMode) {
+            ChainMode.ENGINE_FORWARDED -> RunnerKind.ENGINE_FORWARDED
+            ChainMode.NODE_DRIVEN -> RunnerKind.NODE_DRIVEN
+        }
+    )
 
     private fun setPriority(work: ChainWork, priority: Int) {
         scope.launch {
--- a/node/src/main/kotlin/org/bramleytrestle/node/servers/ReportPoller.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/servers/ReportPoller.kt
@@ -1,5 +1,6 @@
 package org.bramleytrestle.node.servers
 
+import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import java.util.concurrent.ConcurrentLinkedQueue
@@ -12,7 +13,10 @@
 import org.bramleytrestle.backend.EngineControl
 import org.bramleytrestle.model.Instance
 import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.InstanceRole
 import org.bramleytrestle.model.LoadReport
+import org.bramleytrestle.routing.PrefixCacheIndex
+import org.bramleytrestle.routing.PrefixEvent
 
 /**
  * Polls the load of the backend servers that this node is responsible for and shares it with the
@@ -23,6 +27,7 @@
 internal class ReportPoller(
     private val control: EngineControl,
     private val registry: ServerRegistry,
+    private val prefixes: PrefixCacheIndex,
     private val assigned: (Instance) -> Boolean,
     private val share: (List<LoadReport>) -> Unit,
     private val interval: Duration = 500.milliseconds
@@ -32,6 +37,7 @@
 
     suspend fun run(scope: CoroutineScope) {
         while (true) {
+            prefixes.retain(registry.backendServers().mapTo(HashSet()) { it.id })
             val wanted = registry.backendServers().filter(assigned).associateBy { it.id }
             jobs.entries.removeIf { (id, job) -> (id !in wanted).also { if (it) job.cancel() } }
             for ((id, instance) in wanted) jobs.getOrPut(id) { scope.launch { poll(instance) } }
@@ -43,7 +49,11 @@
 
     private suspend fun poll(instance: Instance) {
         var failures = 0
+        var cacheSequence = 0L
         while (true) {
+            if (instance.role == InstanceRole.ENGINE) {
+                cacheSequence = readCacheEvents(instance, cacheSequence)
+            }
             control.report(instance.address)
                 .onSuccess {
                     failures = 0
@@ -58,6 +68,15 @@
         }
     }
 
+    private suspend fun readCacheEvents(instance: Instance, after: Long): Long {
+        val events = control.cacheEvents(instance.address, after).getOrElse { return after }
+        prefixes.apply(
+            instance.id,
+            events.map { PrefixEvent(it.sequence, it.prefixHash, it.stored) }
+        )
+        return events.lastOrNull()?.sequence ?: after
+    }
+
     private companion object {
         // One lost poll is common on a slow link; two in a row are 2 heartbeat intervals.
         const val FAILURES_UNTIL_REST = 2
--- a/node/src/main/kotlin/org/bramleytrestle/node/settings/ChangeWriter.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/settings/ChangeWriter.kt
@@ -4,6 +4,8 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
 import org.bramleytrestle.model.ErrorKind
 import org.bramleytrestle.model.Failure
 import org.bramleytrestle.node.http.ChangeRequest
@@ -12,7 +14,11 @@
 import org.bramleytrestle.settings.Change
 
 /** Accepts changes of operators: checks them, appends them to the log, puts them in force. */
-internal class ChangeWriter(private val holder: SettingsHolder, private val log: ChangeLog) {
+internal class ChangeWriter(
+    private val holder: SettingsHolder,
+    private val log: ChangeLog,
+    private val scope: CoroutineScope
+) {
     /** Returns the accepted change; a repeat with the same id returns the one accepted before. */
     suspend fun write(request: ChangeRequest, author: String): Result<Change, Failure> {
         val state = holder.state
@@ -33,7 +39,11 @@
             undo = next.patchTo(state)
         )
         return when (val outcome = log.append(change)) {
-            AppendOutcome.Accepted -> Ok(change.also { holder.apply(listOf(it)) })
+            AppendOutcome.Accepted -> {
+                holder.apply(listOf(change))
+                scope.launch { log.snapshotIfDue(next.revision, next.tree) }
+                Ok(change)
+            }
             is AppendOutcome.Conflict -> {
                 holder.apply(listOf(outcome.winner))
                 conflict(describe(outcome.winner))
--- a/node/src/main/kotlin/org/bramleytrestle/node/settings/SettingsFollower.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/settings/SettingsFollower.kt
@@ -1,11 +1,16 @@
 package org.bramleytrestle.node.settings
 
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.bramleytrestle.platform.ChangeLog
+import org.bramleytrestle.settings.SettingsState
 
 /**
  * Follows the change log while this node is one of its data centre's watchers. Other nodes get
@@ -23,6 +28,7 @@
                 continue
             }
             val follow = launch {
+                load()
                 log.follow(holder.state.revision).collect { holder.apply(listOf(it)) }
             }
             while (follow.isActive && isWatcher()) delay(CHECK_INTERVAL)
@@ -31,7 +37,19 @@
         }
     }
 
+    /** Takes the newest snapshot when it is ahead of what peers have given. */
+    private suspend fun load() {
+        val loaded = log.load().getOrElse { return }
+        SettingsState.of(loaded.revision, loaded.tree)
+            .onSuccess(holder::replace)
+            .onFailure { faults ->
+                logger.error { "settings: snapshot ${loaded.revision} is invalid: $faults" }
+            }
+        holder.apply(loaded.changes)
+    }
+
     private companion object {
+        val logger = KotlinLogging.logger {}
         val CHECK_INTERVAL = 500.milliseconds
     }
 }
