--- /dev/null
+++ b/routing/src/test/kotlin/org/bramleytrestle/routing/RouterTest.kt
@@ -0,0 +1,172 @@
+package org.bramleytrestle.routing
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import org.bramleytrestle.model.ErrorKind
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.OrganisationId
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class RouterTest {
+    private val hour = 3600.seconds
+
+    private fun TestScope.arrive(tokens: Int = 10, model: String = MODEL) =
+        work(testTimeSource, Arrival(0.seconds, tokens, model = model, deadline = hour))
+
+    /** Guards against slots that leak through cancellation, expiry or repeated finish. */
+    @Test
+    fun `all slots are free again after any mix of outcomes`() = runTest {
+        checkAll(PropTestConfig(seed = 3, iterations = 30), Arb.int()) { seed ->
+            val random = Random(seed)
+            val scope = TestScope()
+            val planner = FakePlanner(mapOf(MODEL to listOf(listOf("a", "b"), listOf("a", "c"))), 3)
+            val router = scope.router(planner)
+            val outcomes = listOf(
+                AttemptOutcome.Completed,
+                AttemptOutcome.Cancelled,
+                AttemptOutcome.Failed(InstanceId("a"), overloaded = false)
+            )
+            repeat(60) { index ->
+                val arrival = Arrival(0.seconds, 1 + random.nextInt(99), deadline = 1.seconds)
+                val job = scope.launch {
+                    delay(random.nextInt(500).milliseconds)
+                    val work = work(scope.testTimeSource, arrival, "r$index")
+                    val dispatch = router.acquire(work).get() ?: return@launch
+                    try {
+                        repeat(random.nextInt(100)) {
+                            delay(5.milliseconds)
+                            dispatch.tokens(1)
+                        }
+                    } finally {
+                        repeat(2) { dispatch.finish(outcomes.random(random)) }
+                    }
+                }
+                scope.launch {
+                    delay(random.nextInt(1000).milliseconds)
+                    if (random.nextInt(3) == 0) job.cancel()
+                }
+            }
+            scope.testScheduler.advanceUntilIdle()
+            val taken = generateSequence {
+                var result: Dispatch? = null
+                scope.launch {
+                    val probe =
+                        work(scope.testTimeSource, Arrival(0.seconds, 1, deadline = 1.seconds))
+                    result = router.acquire(probe).get()
+                }
+                scope.testScheduler.advanceUntilIdle()
+                result
+            }
+            assertEquals(3, taken.take(4).count(), "slots of server a, seed $seed")
+        }
+    }
+
+    /** Guards against one busy model that stops the work of all others. */
+    @Test
+    fun `work without room does not block another model`() = runTest {
+        val planner =
+            FakePlanner(mapOf(MODEL to listOf(listOf("a")), "m2" to listOf(listOf("b"))), 1)
+        val router = router(planner)
+        router.acquire(arrive())
+        val blocked = async { router.acquire(arrive()) }
+        testScheduler.runCurrent()
+        assertNotNull(async { router.acquire(arrive(model = "m2")) }.await().get())
+        assertTrue(blocked.isActive)
+        blocked.cancel()
+    }
+
+    /** Guards against work that sleeps while a new server has room. */
+    @Test
+    fun `queued work starts when a snapshot brings more slots`() = runTest {
+        val planner = FakePlanner(servers(1), 1)
+        val router = router(planner)
+        router.acquire(arrive())
+        val queued = async { router.acquire(arrive()) }
+        testScheduler.runCurrent()
+        val reports = planner.snapshot.reports.mapValues { it.value.copy(slots = 2) }
+        planner.publish(planner.snapshot.copy(reports = reports))
+        router.onSnapshot()
+        testScheduler.runCurrent()
+        assertNotNull(queued.await().get())
+        assertEquals(0L, testScheduler.currentTime)
+    }
+
+    /** Guards against refusals of the wrong kind, or late ones. */
+    @Test
+    fun `refusals name their reason`() = runTest {
+        val limited = """{"defaults":{"models":["$MODEL"],"newShare":0}}"""
+        val planner = FakePlanner(servers(1) + ("m2" to listOf(listOf("b"))), 1, limited)
+        val router = router(planner)
+        suspend fun kind(work: Work) = router.acquire(work).getError()?.kind
+        assertEquals(ErrorKind.MODEL_NOT_ALLOWED, kind(arrive(model = "m2")))
+        val gone = arrive().copy(excluded = setOf(InstanceId("s0")))
+        assertEquals(ErrorKind.NO_ROUTE, kind(gone))
+        assertEquals(ErrorKind.BACKEND_FAILED, kind(gone.copy(attempt = 2, mayHaveRun = true)))
+        assertNull(kind(arrive()))
+        val waiting = arrive().copy(deadline = testTimeSource.markNow() + 1.seconds)
+        assertEquals(ErrorKind.DEADLINE_NOT_RUN, kind(waiting))
+        assertEquals(1000L, testScheduler.currentTime)
+        val failure = router.acquire(
+            waiting.copy(
+                deadline =
+                testTimeSource.markNow() + 1.milliseconds
+            )
+        )
+            .getError()
+        assertEquals(ErrorKind.OVERLOADED, failure?.kind)
+        assertEquals(1, failure?.retryAfterSeconds)
+        assertEquals(1000L, testScheduler.currentTime)
+    }
+
+    /** Guards against a wrong estimate that keeps its priority while it holds up short work. */
+    @Test
+    fun `work that outruns its estimate is demoted once`() = runTest {
+        val router = router(FakePlanner(servers(1), 4))
+        val dispatch = router.acquire(arrive(tokens = 60)).get()!!
+        assertNull(dispatch.tokens(64))
+        assertTrue(dispatch.tokens(1)!! > dispatch.priority)
+        assertNull(dispatch.tokens(100))
+    }
+
+    /** Guards against an organisation that exceeds its limit, and against one held up by it. */
+    @Test
+    fun `an organisation gets its limit and no more`() = runTest {
+        val json = """{"organisations":{"lab":{"overrides":{"tokensPerSecond":200}}}}"""
+        val planner = FakePlanner(servers(8), 4, json)
+        val self = InstanceId("n0")
+        val limiter = OrganisationLimiter(self, testTimeSource, { _, members -> members })
+        limiter.onView(listOf(self), planner.snapshot.settings)
+        val load = poisson(Random(4), 20.0, 30) { Arrival(it, 20, deadline = 4.seconds) }
+        val other = poisson(Random(5), 20.0, 30) { Arrival(it, 20, "other", deadline = 4.seconds) }
+        val served = simulate(router(planner, limiter), planner, load + other)
+        val tokens = served.filter {
+            it.good && it.arrival.organisation == "lab"
+        }.sumOf { it.arrival.tokens }
+        // Without grants the static half applies, from the time that others may have held it.
+        val most = 100 * (30 + 4 + 1) + 20
+        assertTrue(tokens in 100 * 25..most, "$tokens tokens, at most $most")
+        assertTrue(served.any { it.failure == ErrorKind.RATE_LIMITED })
+        val free = served.filter { it.arrival.organisation == "other" && it.arrival.at > 3.seconds }
+        assertTrue(free.all { it.good })
+        assertEquals(100.0, limiter.rate(OrganisationId("lab")))
+    }
+}
