Keep the limiters of an attempt with its dispatch

Found by reading; no test reproduces it. Change: a dispatch holds the limiters that it took slots of. The refusal for an organisation's limit loses a condition without effect.

--- a/routing/src/main/kotlin/org/bramleytrestle/routing/ActiveDispatch.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/ActiveDispatch.kt
@@ -11,6 +11,7 @@
 internal class ActiveDispatch(
     val entry: QueuedWork,
     val plan: ChainPlan,
+    val slots: List<ConcurrencyLimiter>,
     private val clock: TimeSource.WithComparableMarks,
     private val events: Events
 ) : Dispatch {
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/ServerLimits.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/ServerLimits.kt
@@ -12,15 +12,25 @@
         ConcurrencyLimiter(planner.snapshot.reports[it]?.slots ?: UNREPORTED_SLOTS)
     }
 
-    /** Takes one slot on every hop, or none. */
-    fun tryAcquire(hops: List<StageHop>, workClass: WorkClass, reserve: Double): Boolean {
-        hops.forEachIndexed { index, hop ->
-            if (!of(hop.instance).tryAcquire(workClass, reserve)) {
-                hops.take(index).forEach { of(it.instance).release(workClass) }
-                return false
+    /**
+     * Takes one slot on every hop, or none and returns null. The attempt keeps the limiters that
+     * it holds slots of, because the map forgets servers that are gone.
+     */
+    fun tryAcquire(
+        hops: List<StageHop>,
+        workClass: WorkClass,
+        reserve: Double
+    ): List<ConcurrencyLimiter>? {
+        val taken = ArrayList<ConcurrencyLimiter>(hops.size)
+        for (hop in hops) {
+            val limiter = of(hop.instance)
+            if (!limiter.tryAcquire(workClass, reserve)) {
+                taken.forEach { it.release(workClass) }
+                return null
             }
+            taken += limiter
         }
-        return true
+        return taken
     }
 
     /** Takes over new load reports and forgets idle servers that are gone. */
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/TargetScheduler.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/TargetScheduler.kt
@@ -63,7 +63,7 @@
     }
 
     override fun stepped(dispatch: ActiveDispatch, stepRatio: Double): Unit =
-        dispatch.hops.forEach { limits.of(it.instance).succeeded(stepRatio) }
+        dispatch.slots.forEach { it.succeeded(stepRatio) }
 
     override fun outran(dispatch: ActiveDispatch, tokens: Int) {
         organisations?.charge(dispatch.entry.work.organisation, tokens)
@@ -71,7 +71,7 @@
 
     @Synchronized
     override fun demoted(dispatch: ActiveDispatch) {
-        dispatch.hops.forEach { limits.of(it.instance).demote() }
+        dispatch.slots.forEach { it.demote() }
         load.ended(WorkClass.SHORT)
         load.started(WorkClass.LONG)
         load.learnHold(WorkClass.SHORT, dispatch.held, dispatch.entry.tokens)
@@ -81,12 +81,12 @@
         val entry = dispatch.entry
         val actual = dispatch.tokensUsed(outcome)
         val charged = maxOf(entry.tokens, entry.tokens - entry.estimate.tokens + dispatch.generated)
-        dispatch.hops.forEach { limits.of(it.instance).release(dispatch.workClass) }
+        dispatch.slots.forEach { it.release(dispatch.workClass) }
         organisations?.charge(entry.work.organisation, actual - charged)
         when (outcome) {
             is AttemptOutcome.Completed -> {
                 entry.history.learn(entry.work.emittedTokens + dispatch.generated)
-                dispatch.hops.forEach { limits.of(it.instance).succeeded(null) }
+                dispatch.slots.forEach { it.succeeded(null) }
             }
 
             is AttemptOutcome.Failed -> if (outcome.overloaded) {
@@ -139,8 +139,6 @@
         val organisation = entry.work.organisation
         organisations?.offered(organisation, entry.tokens)
         val wait = organisations?.delay(organisation) ?: return null
-        // Within two grant durations a grant can raise the rate.
-        if (wait <= left.coerceAtMost(OrganisationLimiter.GRANT_DURATION * 2)) return null
         if (wait <= left) return null
         val detail = "the limit of $organisation has room in $wait"
         return entry.work.refusal(ErrorKind.RATE_LIMITED, detail, wait)
@@ -191,7 +189,10 @@
         if (!takeTokens(entry)) return Start.LIMITED
         val plan = choose(entry)
         val late = plan != null && !entry.ahead && isLate(entry, plan)
-        if (plan == null || late || !limits.tryAcquire(plan, entry)) {
+        val reserve = entry.settings.shortReserve
+        val slots = plan?.takeUnless { late }
+            ?.let { limits.tryAcquire(it.hops, entry.workClass, reserve) }
+        if (plan == null || slots == null) {
             organisations?.charge(work.organisation, -entry.tokens)
             if (!late) return Start.NO_ROOM
             removeQueued(entry)
@@ -202,7 +203,7 @@
         removeQueued(entry)
         queue.charge(entry)
         load.started(entry.workClass)
-        entry.result.complete(Ok(ActiveDispatch(entry, plan, clock, this)))
+        entry.result.complete(Ok(ActiveDispatch(entry, plan, slots, clock, this)))
         return Start.STARTED
     }
 
@@ -223,9 +224,6 @@
         )
     }
 
-    private fun ServerLimits.tryAcquire(plan: ChainPlan, entry: QueuedWork): Boolean =
-        tryAcquire(plan.hops, entry.workClass, entry.settings.shortReserve)
-
     /** Running what cannot finish in time would take slots from work that can. */
     private fun isLate(entry: QueuedWork, plan: ChainPlan): Boolean = load.running > 0 &&
         entry.work.deadline - clock.markNow() <
