--- a/routing/src/test/kotlin/org/bramleytrestle/routing/Fleet.kt
+++ b/routing/src/test/kotlin/org/bramleytrestle/routing/Fleet.kt
@@ -6,7 +6,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -167,10 +166,3 @@
     .drop(1).takeWhile { it < seconds }.map { make((it * 1000).milliseconds) }.toList()
 
 internal fun List<Duration>.p99(): Duration = sorted()[(size * 99) / 100]
-
-internal fun CoroutineScope.occupy(router: RequestRouter, work: Work, hold: Duration) = launch {
-    router.acquire(work).get()?.let {
-        delay(hold)
-        it.finish(AttemptOutcome.Completed)
-    }
-}
