--- a/backend/src/test/kotlin/org/bramleytrestle/backend/EngineChain.kt
+++ b/backend/src/test/kotlin/org/bramleytrestle/backend/EngineChain.kt
@@ -45,6 +45,11 @@
     fun expected(work: ChainWork): List<Token> =
         ReferenceModel.answer(work.prompt, work.model.value, work.version, layers, work.maxTokens)
 
+    /** A prompt whose answer has at least [tokens] tokens. */
+    fun longPrompt(tokens: Int): String = generateSequence(0) { it + 1 }
+        .map { "prompt $it" }
+        .first { expected(work(it, maxTokens = tokens)).size == tokens }
+
     override fun close() = (engines + spares).forEach { it.kill() }
 
     private fun start(id: String, index: Int): EngineServer {
