Make the runner tests fail without the stall watch or the request check

Cause: trials with the stall watch or the checks of request id and index taken out still passed: the stand-in's own hop timeout of 5 s reported the frozen hop, and a crossed stream was noticed only by its done event. Change: the engines of the tests time out after 20 s, and a crossed answer must give no token. Not retried with the mechanisms taken out. Measured: both runner test classes pass.

--- a/backend/src/test/kotlin/org/bramleytrestle/backend/ChainRunnerContract.kt
+++ b/backend/src/test/kotlin/org/bramleytrestle/backend/ChainRunnerContract.kt
@@ -120,6 +120,7 @@
                 assertEquals(StreamEvent.Failed(hop, case.expected), events.last(), "case $index")
                 assertEquals(chain.expected(work).map { it.id }.take(events.size - 1), events.ids())
                 assertTrue(started.elapsedNow() < FAILURE_BOUND, "case $index took too long")
+                if (case.expected == HopFailure.MISMATCH) assertEquals(1, events.size)
             }
         }
     }
--- a/backend/src/test/kotlin/org/bramleytrestle/backend/EngineChain.kt
+++ b/backend/src/test/kotlin/org/bramleytrestle/backend/EngineChain.kt
@@ -58,7 +58,8 @@
             layers = range(index),
             modelLayers = layers,
             microsPerLayer = 100,
-            reportLagMillis = 0
+            reportLagMillis = 0,
+            hopTimeoutMillis = 20_000
         )
         return EngineServer(configure(config))
     }
