--- a/routing/src/main/kotlin/org/bramleytrestle/routing/ConcurrencyLimiter.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/ConcurrencyLimiter.kt
@@ -6,7 +6,7 @@
 /**
  * Limits the attempts of this node on one server. The limit falls by a factor when steps take
  * much longer than the fastest ones or the server refuses for lack of room, and grows by one for
- * each window of normal steps. It stays between one and the slots that the server reports.
+ * each window of normal steps. It stays between one and the attempts that fill the server.
  *
  * Every operation is a compare-and-set loop, so request threads never wait for each other.
  */
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/ServerLimits.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/ServerLimits.kt
@@ -9,7 +9,18 @@
     private val limiters = ConcurrentHashMap<InstanceId, ConcurrencyLimiter>()
 
     fun of(instance: InstanceId): ConcurrencyLimiter = limiters.computeIfAbsent(instance) {
-        ConcurrencyLimiter(planner.snapshot.reports[it]?.slots ?: UNREPORTED_SLOTS)
+        ConcurrencyLimiter(room(planner.snapshot, it) ?: UNREPORTED_SLOTS)
+    }
+
+    /**
+     * Attempts that keep a server busy. An attempt is on one hop of its chain at a time, so a
+     * server that holds one of n equal layer ranges needs n attempts for each of its slots.
+     */
+    private fun room(snapshot: RoutingSnapshot, instance: InstanceId): Int? {
+        val report = snapshot.reports[instance] ?: return null
+        val held = report.layers ?: return report.slots
+        val layers = snapshot.settings.document.models[report.model?.value]?.layers ?: held.size
+        return report.slots * ((layers + held.size - 1) / held.size)
     }
 
     /**
@@ -37,7 +48,7 @@
     fun onSnapshot() {
         val snapshot = planner.snapshot
         for ((instance, limiter) in limiters) {
-            snapshot.reports[instance]?.let { limiter.onSlots(it.slots) }
+            room(snapshot, instance)?.let(limiter::onSlots)
             val gone = instance !in snapshot.servers
             if (gone && limiter.inFlight == 0) limiters.remove(instance, limiter)
         }
