Check peer addresses at the start and test states in parts

A seed without a port failed only later and unseen; settings now refuse it. Deaths and a superseded run are logged. A change larger than a frame is tested to reach all members as a state in parts under the frame limit.

--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterSettings.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterSettings.kt
@@ -23,4 +23,11 @@
     public val intervals: ClusterIntervals = ClusterIntervals()
 ) {
     internal val secret: ByteArray = secret.copyOf()
+
+    init {
+        for (address in seeds + listenAddress + peerAddress) {
+            val port = address.substringAfterLast(':', "").toIntOrNull()
+            require(port != null) { "peer address '$address': expected host:port" }
+        }
+    }
 }
--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/MemberTable.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/MemberTable.kt
@@ -1,5 +1,6 @@
 package org.bramleytrestle.cluster
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlin.math.ceil
 import kotlin.math.log10
 import org.bramleytrestle.model.InstanceId
@@ -127,6 +128,7 @@
         for ((id, deadline) in suspects.entries.toList()) {
             val record = records[id]
             if (record == null || now < deadline) continue
+            log.info { "cluster: ${record.id} in ${record.dataCentre} is dead: no answer" }
             record.state = MemberState.DEAD
             changed(record, now, withPlace = false)
         }
@@ -204,6 +206,7 @@
         val laterStart =
             update.incarnation shr REFUTATION_BITS > self.incarnation shr REFUTATION_BITS
         if (laterStart && elsewhere && now - startedAt > NEW_RUN_MILLIS) {
+            log.error { "cluster: a later run of ${self.id} is active; this run gives way" }
             superseded = true
             return
         }
@@ -264,6 +267,8 @@
     }
 
     companion object {
+        private val log = KotlinLogging.logger {}
+
         private const val REPORTERS = 2
         const val DELEGATES = 2
 
--- a/cluster/src/test/kotlin/org/bramleytrestle/cluster/DisseminationTest.kt
+++ b/cluster/src/test/kotlin/org/bramleytrestle/cluster/DisseminationTest.kt
@@ -10,6 +10,9 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
 import org.bramleytrestle.model.InstanceId
 
 @OptIn(ExperimentalKotest::class)
@@ -87,6 +90,25 @@
         assertEquals(1, late.listener.statesReceived)
     }
 
+    // Guards against a change that is too large for a frame and therefore never arrives.
+    @Test
+    fun `a change larger than a frame reaches all members as a state in parts`() {
+        val simulation = started(9, 3)
+        val names = List(40_000) { JsonPrimitive(simulation.random.nextLong().toString(16)) }
+        val patch = buildJsonObject {
+            put("defaults", buildJsonObject { put("models", JsonArray(names)) })
+        }
+        val large = change(1).copy(patch = patch)
+        val first = simulation.live.first()
+        first.listener.onChanges(listOf(large))
+        first.core.pushChanges(listOf(large))
+        val time = simulation.runUntil(5_000) { simulation.allAt(1) }
+        assertTrue(assertNotNull(time) <= 2_000, "$time ms")
+        val others = simulation.live.drop(1)
+        assertTrue(others.all { it.listener.state.tree == patch })
+        assertTrue(others.all { it.listener.statesReceived == 1 })
+    }
+
     // Guards against an operator being told that a change is in force while a member lacks it.
     @Test
     fun `members see the lowest applied revision of other data centres`() {
--- a/cluster/src/test/kotlin/org/bramleytrestle/cluster/Simulation.kt
+++ b/cluster/src/test/kotlin/org/bramleytrestle/cluster/Simulation.kt
@@ -32,6 +32,7 @@
         val alive get() = view.values.filter { it.state == MemberState.ALIVE }.map { it.id.value }
 
         override fun send(to: String, frame: ByteArray, delivery: Delivery) {
+            check(frame.size <= TcpConnection.FRAME_LIMIT) { "frame of ${frame.size} bytes" }
             sentBytes += frame.size + LENGTH_BYTES
             sentFrames++
             transmit(address, to, frame)
