--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterCore.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterCore.kt
@@ -42,7 +42,7 @@
     private val view = MemberView(table, dataCentres)
 
     private var now = now
-    private var lastTick = now
+    private var lastInput = now
     private var nextHeartbeat = now + random.nextLong(heartbeat)
     private val startedAt = now
     private var nextAntiEntropy = now + jittered(2 * heartbeat)
@@ -65,7 +65,13 @@
 
     fun shareReports(batch: List<LoadReport>) {
         val targets = table.all.filter { it !== table.self && it.state != MemberState.DEAD }
-        reports.share(batch, targets, now)
+        reports.share(
+            batch,
+            targets,
+            standIn = { table.reporters(it).let { list -> table.self in list.drop(1) } },
+            isReporter = { record, server -> record in table.reporters(server) },
+            now
+        )
     }
 
     fun sendDemand(to: InstanceId, demand: List<LimitDemand>) {
@@ -117,6 +123,7 @@
 
     fun receive(from: String, frame: ByteArray, time: Long) {
         now = time
+        noticeOwnPause()
         if (table.superseded) return
         val message = try {
             MessageCodec.decode(frame)
@@ -178,8 +185,8 @@
 
     /** After a stop of this process the silence of the others means nothing. */
     private fun noticeOwnPause() {
-        val gap = now - lastTick
-        lastTick = now
+        val gap = now - lastInput
+        lastInput = now
         if (gap <= 2 * heartbeat) return
         log.info { "cluster: this process stood still for $gap ms" }
         detector.reset()
@@ -263,6 +270,7 @@
 
     /** Tries a seed and a dead member, which is how two parts of a cluster find each other. */
     private fun reachOut() {
+        table.forget(now)
         val live = table.all.filter {
             it.state != MemberState.DEAD &&
                 dataCentres.state(it.dataCentre, now) != MemberState.DEAD
