--- a/cluster/src/test/kotlin/org/bramleytrestle/cluster/DisseminationTest.kt
+++ b/cluster/src/test/kotlin/org/bramleytrestle/cluster/DisseminationTest.kt
@@ -10,8 +10,7 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlinx.coroutines.test.runTest
-import kotlinx.serialization.json.JsonArray
-import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.buildJsonObject
 import org.bramleytrestle.model.InstanceId
 
@@ -94,9 +93,9 @@
     @Test
     fun `a change larger than a frame reaches all members as a state in parts`() {
         val simulation = started(9, 3)
-        val names = List(40_000) { JsonPrimitive(simulation.random.nextLong().toString(16)) }
+        val names = List(40_000) { "o" + simulation.random.nextLong().toString(16) }
         val patch = buildJsonObject {
-            put("defaults", buildJsonObject { put("models", JsonArray(names)) })
+            put("organisations", JsonObject(names.associateWith { JsonObject(emptyMap()) }))
         }
         val large = change(1).copy(patch = patch)
         val first = simulation.live.first()
--- a/routing/src/test/kotlin/org/bramleytrestle/routing/RouterTest.kt
+++ b/routing/src/test/kotlin/org/bramleytrestle/routing/RouterTest.kt
@@ -113,7 +113,8 @@
     /** Guards against refusals of the wrong kind, or late ones. */
     @Test
     fun `refusals name their reason`() = runTest {
-        val limited = """{"defaults":{"models":["$MODEL"],"newShare":0}}"""
+        val limited = """{"models":{"$MODEL":{"layers":1}},""" +
+            """"defaults":{"models":["$MODEL"],"newShare":0}}"""
         val planner = FakePlanner(servers(1) + ("m2" to listOf(listOf("b"))), 1, limited)
         val router = router(planner)
         suspend fun kind(work: Work) = router.acquire(work).getError()?.kind
