--- a/standins/src/main/kotlin/org/bramleytrestle/standins/soak/SoakReport.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/soak/SoakReport.kt
@@ -9,6 +9,8 @@
  * @property duplicateRuns calls that may not be repeated and ran more than once.
  * @property cutByDrain requests cut or refused by a node's planned stop.
  * @property reverts times that settings went back or were not in force within 5 s.
+ * @property failures refused and failed requests by error kind; `connection` counts connections to
+ * nodes that a fault had killed or frozen.
  * @property invariantViolations violations seen inside nodes and engines, refused requests that
  * ran, and racing changes that both won.
  */
@@ -25,7 +27,8 @@
     val cutByDrain: Int,
     val reverts: Int,
     val invariantViolations: Int,
-    val faults: Map<String, Int>
+    val faults: Map<String, Int>,
+    val failures: Map<String, Int> = emptyMap()
 ) {
     val passed: Boolean
         get() = completed > 0 && duplicateRuns == 0 && wrongAnswers == 0 &&
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/soak/SoakTally.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/soak/SoakTally.kt
@@ -33,14 +33,19 @@
         cutByDrain = of("cutByDrain"),
         reverts = of("reverts"),
         invariantViolations = of("invariantViolations"),
-        faults = counts.filterKeys { it.startsWith(FAULT) }
-            .mapKeys { it.key.removePrefix(FAULT) }
-            .mapValues { it.value.get() }.toSortedMap()
+        faults = withPrefix(FAULT),
+        failures = withPrefix(FAILURE)
     )
 
+    private fun withPrefix(prefix: String): Map<String, Int> =
+        counts.filterKeys { it.startsWith(prefix) }
+            .mapKeys { it.key.removePrefix(prefix) }
+            .mapValues { it.value.get() }.toSortedMap()
+
     private fun of(name: String) = counts[name]?.get() ?: 0
 
     companion object {
         const val FAULT = "fault:"
+        const val FAILURE = "failure:"
     }
 }
