--- a/routing/src/main/kotlin/org/bramleytrestle/routing/ConcurrencyLimiter.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/ConcurrencyLimiter.kt
@@ -129,8 +129,8 @@
         const val LOW_HALF = 0xFFFF_FFFFL
         const val DECREASE = 0.8
 
-        /** Batching alone makes steps somewhat slower; half as much again counts as queueing. */
-        const val SLOW_STEP = 1.5
+        /** Batching alone makes steps slower; only twice the fastest step counts as queueing. */
+        const val SLOW_STEP = 2.0
 
         /** Lets the fastest step rise slowly, so that one lucky sample does not hold forever. */
         const val FASTEST_DRIFT = 1.02
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/soak/SoakCaller.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/soak/SoakCaller.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import org.bramleytrestle.standins.engine.ReferenceModel
+import org.bramleytrestle.standins.fleet.FleetProcess
 
 /** One caller that sends requests one after another and checks every answer. */
 internal class SoakCaller(
@@ -75,7 +76,7 @@
         val reply = exchange(entry) {
             client.post("${entry.address}/v1/chat/completions", body, headers())
         }
-        val killed = process?.alive != true
+        val killed = stream && reply.ok && DONE !in reply.body && killed(entry.node, process)
         if (!reply.ok) return failed(reply)
         val expected = ReferenceModel
             .answer("user: $text", SoakFleet.MODEL, "1", SoakFleet.LAYERS, tokens)
@@ -92,6 +93,17 @@
         }
     }
 
+    /** Whether [process], which served a stream that broke off, was killed by a fault. */
+    private fun killed(node: String, process: FleetProcess?): Boolean {
+        if (node in fleet.draining && node !in fleet.faulty) {
+            tally.violation("cutByDrain", "$node broke off a stream")
+            return true
+        }
+        // The connection of a killed process ends shortly before its exit can be seen.
+        Thread.sleep(EXIT_SEEN_MILLIS)
+        return process?.alive != true
+    }
+
     private fun streamed(body: String, expected: String, node: String, killed: Boolean) {
         val text = CONTENT.findAll(body).joinToString("") { it.groupValues[1] }
         when {
@@ -99,8 +111,8 @@
                 unknown(KIND.find(body)?.groupValues?.get(1) ?: "streamError")
             // The connection of a killed process ends without the terminal event, so the caller
             // can tell; only a living node must not end a stream so.
-            "data: [DONE]" !in body && killed -> unknown("nodeKilled")
-            "data: [DONE]" !in body -> tally.violation(
+            DONE !in body && killed -> unknown("nodeKilled")
+            DONE !in body -> tally.violation(
                 "truncatedAnswers",
                 "$node, alive, ended a stream after '${text.takeLast(SHOWN)}'"
             )
@@ -206,6 +218,8 @@
         const val KEYLESS_ONE_IN = 4
         const val REPEAT_ONE_IN = 3
         const val SHOWN = 20
+        const val EXIT_SEEN_MILLIS = 500L
+        const val DONE = "data: [DONE]"
         val KIND = Regex("\"kind\":\"([^\"]*)\"")
         val CONTENT = Regex("\"content\":\"([^\"]*)\"")
     }
