--- a/backend/src/main/kotlin/org/bramleytrestle/backend/RunnerKind.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/RunnerKind.kt
@@ -1,7 +1,16 @@
 package org.bramleytrestle.backend
 
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
 /** The ways to run a chain, by the names that settings use. */
-public enum class RunnerKind(public val wireName: String) {
-    ENGINE_FORWARDED("engine-forwarded"),
-    NODE_DRIVEN("node-driven")
+@Serializable
+public enum class RunnerKind {
+    /** The engines forward hidden states to each other. */
+    @SerialName("engine-forwarded")
+    ENGINE_FORWARDED,
+
+    /** The node calls each hop for each token. */
+    @SerialName("node-driven")
+    NODE_DRIVEN
 }
--- a/backend/src/test/kotlin/org/bramleytrestle/backend/RunnerBenchmark.kt
+++ b/backend/src/test/kotlin/org/bramleytrestle/backend/RunnerBenchmark.kt
@@ -68,7 +68,7 @@
             if (report) {
                 print(
                     "measurement" to "throughput",
-                    "runner" to kind.wireName,
+                    "runner" to kind.name,
                     "streams" to streams,
                     "tokens" to tokens,
                     "tokensPerSecond" to tokens / elapsed.toDouble(DurationUnit.SECONDS),
--- a/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
@@ -14,7 +14,6 @@
 import org.bramleytrestle.cluster.Cluster
 import org.bramleytrestle.cluster.ClusterSettings
 import org.bramleytrestle.cluster.Clusters
-import org.bramleytrestle.cluster.reporters
 import org.bramleytrestle.cluster.watchers
 import org.bramleytrestle.model.DataCentre
 import org.bramleytrestle.model.Instance
@@ -23,7 +22,6 @@
 import org.bramleytrestle.model.Invariants
 import org.bramleytrestle.model.OrganisationId
 import org.bramleytrestle.model.Rendezvous
-import org.bramleytrestle.model.Side
 import org.bramleytrestle.node.config.NodeConfig
 import org.bramleytrestle.node.config.RoutingMode
 import org.bramleytrestle.node.drain.Drain
@@ -38,6 +36,7 @@
 import org.bramleytrestle.node.limits.LimitExchange
 import org.bramleytrestle.node.metrics.NodeMetrics
 import org.bramleytrestle.node.request.PlatformCallRecorder
+import org.bramleytrestle.node.servers.PollAssignment
 import org.bramleytrestle.node.servers.ReportPoller
 import org.bramleytrestle.node.servers.ServerRegistry
 import org.bramleytrestle.node.servers.SnapshotPublisher
@@ -60,10 +59,7 @@
 import org.bramleytrestle.routing.RoundRobinPlanner
 import org.bramleytrestle.routing.RoutingSnapshot
 import org.bramleytrestle.routing.ServerSubset
-import org.bramleytrestle.routing.SideSplit
-import org.bramleytrestle.routing.Work
 import org.bramleytrestle.settings.Change
-import org.bramleytrestle.settings.EffectiveSettings
 
 private val log = KotlinLogging.logger {}
 
@@ -89,6 +85,7 @@
     private val changeLog = ChangeLog(store)
     private val instances = InstanceList(store)
     private val registry = ServerRegistry(clock)
+    private val assignment = PollAssignment(id, dataCentre)
     private val holder = SettingsHolder(::settingsApplied)
     private val backends = Backends.http()
     private val planner: ChainPlanner = when (config.routing) {
@@ -107,7 +104,7 @@
         allocator = allocator,
         cluster = { cluster },
         settings = { holder.state },
-        onGrant = ::reconsider
+        onGrant = router::onSnapshot
     )
     private val publisher = SnapshotPublisher(
         planner = planner,
@@ -120,7 +117,7 @@
             linkMicros = config.linkMicros,
             dataCentre = config.dataCentre
         ),
-        onPublished = ::reconsider
+        onPublished = router::onSnapshot
     )
     private val cluster: Cluster = Clusters.tcp(
         settings = ClusterSettings(
@@ -152,7 +149,7 @@
         drain = drain,
         scope = scope,
         settings = { holder.state },
-        usable = { it in registry.usable() },
+        usable = registry::isUsable,
         members = ::members,
         onFailure = ::serverFailed,
         ready = ::ready
@@ -169,22 +166,11 @@
             planner = planner,
             clock = clock,
             random = random,
-            split = ::side,
             limiter = limiter,
             scope = scope,
             maxQueued = config.queueLimit
         )
-        RoutingMode.BASELINE -> FifoRequestRouter(planner, clock, ::side)
-    }
-
-    private fun side(work: Work, settings: EffectiveSettings): Side =
-        SideSplit.side(work.organisation, work.service, work.sideKey, settings.newShare)
-
-    /** Queued work may run now. */
-    private fun reconsider() = when (val router = router) {
-        is DefaultRequestRouter -> router.onSnapshot()
-        is FifoRequestRouter -> router.onSnapshot()
-        else -> Unit
+        RoutingMode.BASELINE -> FifoRequestRouter(planner, clock)
     }
 
     suspend fun start() {
@@ -204,7 +190,7 @@
             ReportPoller(
                 control = backends.control,
                 registry = registry,
-                rank = ::pollRank,
+                ranks = { assignment.ranks(members(), it) },
                 share = cluster::shareReports
             ).run(scope)
         }
@@ -240,14 +226,7 @@
     private fun isWatcher(): Boolean = id in watchers(members(), dataCentre)
 
     private fun homes(organisation: OrganisationId, nodes: List<InstanceId>): List<InstanceId> =
-        Rendezvous.rank(organisation.value, nodes.map { it.value }).map { InstanceId(it) }
-
-    /** Servers of a data centre without live members are polled by members of all others. */
-    private fun pollRank(server: Instance): Int? {
-        val near = reporters(members(), server.dataCentre, server.id)
-            .ifEmpty { reporters(members(), dataCentre, server.id) }
-        return near.indexOf(id).takeIf { it >= 0 }
-    }
+        Rendezvous.top(organisation.value, nodes, nodes.size) { it.value }
 
     private fun serverFailed(instance: InstanceId, failure: HopFailure) {
         registry.failed(instance, failure)
--- a/node/src/main/kotlin/org/bramleytrestle/node/config/NodeConfig.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/config/NodeConfig.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import kotlinx.serialization.Serializable
+import org.bramleytrestle.backend.RunnerKind
 
 /**
  * What one node learns from its settings file.
@@ -35,7 +36,7 @@
     val seeds: List<String> = emptyList(),
     val operatorTokens: List<OperatorToken> = emptyList(),
     val serverSubset: Int = 128,
-    val chainMode: ChainMode = ChainMode.ENGINE_FORWARDED,
+    val chainMode: RunnerKind = RunnerKind.ENGINE_FORWARDED,
     val routing: RoutingMode = RoutingMode.STANDARD,
     val linkMicros: Map<String, Long> = emptyMap(),
     val keepSeconds: Long = 30,
--- a/node/src/main/kotlin/org/bramleytrestle/node/http/AdminHandlers.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/AdminHandlers.kt
@@ -13,6 +13,7 @@
 import org.bramleytrestle.model.ErrorKind
 import org.bramleytrestle.model.Failure
 import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.node.settings.ChangeRequest
 import org.bramleytrestle.node.settings.ChangeWriter
 import org.bramleytrestle.node.settings.SettingsHolder
 import org.bramleytrestle.platform.StoreError
--- a/node/src/main/kotlin/org/bramleytrestle/node/http/CallerRoutes.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/CallerRoutes.kt
@@ -6,19 +6,16 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.bramleytrestle.backend.Backends
-import org.bramleytrestle.backend.ChainRunner
 import org.bramleytrestle.backend.ChainWork
 import org.bramleytrestle.backend.HopFailure
-import org.bramleytrestle.backend.RunnerKind
 import org.bramleytrestle.cluster.Member
 import org.bramleytrestle.model.ErrorKind
 import org.bramleytrestle.model.Failure
 import org.bramleytrestle.model.InstanceId
-import org.bramleytrestle.model.Rendezvous
-import org.bramleytrestle.node.config.ChainMode
 import org.bramleytrestle.node.config.NodeConfig
 import org.bramleytrestle.node.drain.Drain
 import org.bramleytrestle.node.metrics.NodeMetrics
+import org.bramleytrestle.node.request.AttemptRetrier
 import org.bramleytrestle.node.request.CallRecorder
 import org.bramleytrestle.node.request.CompletionExecutor
 import org.bramleytrestle.node.request.DispatchAcquirer
@@ -48,10 +45,11 @@
     private val ready: () -> Boolean
 ) {
     private val acquirer = DispatchAcquirer(router, usable)
+    private val retrier = AttemptRetrier(router, metrics, onFailure)
     private val completions =
         CompletionHandler(completionExecutor(), settings, clock, metrics, scope)
     private val services = ServiceHandler(serviceExecutor(), settings, clock, metrics)
-    private val entries = EntriesHandler(members, settings, ::rank, config.keepSeconds)
+    private val entries = EntriesHandler(members, settings, config.keepSeconds)
 
     fun register(routes: RoutesConfig) = with(routes) {
         get("/v1/entries", entries::handle)
@@ -79,30 +77,21 @@
     }
 
     private fun completionExecutor() = CompletionExecutor(
-        router = router,
         acquirer = acquirer,
-        runner = runner(),
+        retrier = retrier,
+        runner = backends.runner(config.chainMode),
         clock = clock,
         metrics = metrics,
-        onFailure = onFailure,
         onPriority = ::setPriority
     )
 
     private fun serviceExecutor() = ServiceExecutor(
-        router = router,
         acquirer = acquirer,
+        retrier = retrier,
         client = backends.services,
         records = records,
         clock = clock,
-        metrics = metrics,
-        onFailure = onFailure
-    )
-
-    private fun runner(): ChainRunner = backends.runner(
-        when (config.chainMode) {
-            ChainMode.ENGINE_FORWARDED -> RunnerKind.ENGINE_FORWARDED
-            ChainMode.NODE_DRIVEN -> RunnerKind.NODE_DRIVEN
-        }
+        metrics = metrics
     )
 
     private fun setPriority(work: ChainWork, priority: Int) {
@@ -113,9 +102,6 @@
         }
     }
 
-    private fun rank(key: String, ids: Collection<InstanceId>): List<InstanceId> =
-        Rendezvous.rank(key, ids.map { it.value }).map { InstanceId(it) }
-
     private companion object {
         const val METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
         const val STATUS_OK = 200
--- a/node/src/main/kotlin/org/bramleytrestle/node/http/CompletionHandler.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/CompletionHandler.kt
@@ -119,8 +119,12 @@
                         Invariants.check("whole-answer", end.tokens == count) {
                             "request ${request.id}: $count tokens of ${end.tokens} are written"
                         }
-                        val prompt = request.prompt.split(' ').size
-                        val body = answers.whole("$text", end.finishReason, prompt, end.tokens)
+                        val body = answers.whole(
+                            text = "$text",
+                            finishReason = end.finishReason,
+                            promptTokens = request.promptTokens,
+                            tokens = end.tokens
+                        )
                         ctx.contentType("application/json").result(body.toString())
                     },
                     { Problem.answer(ctx, it) }
--- a/node/src/main/kotlin/org/bramleytrestle/node/http/EntriesHandler.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/EntriesHandler.kt
@@ -5,8 +5,8 @@
 import kotlinx.serialization.json.Json
 import org.bramleytrestle.cluster.Member
 import org.bramleytrestle.cluster.MemberState
-import org.bramleytrestle.model.InstanceId
 import org.bramleytrestle.model.OrganisationId
+import org.bramleytrestle.model.Rendezvous
 import org.bramleytrestle.settings.SettingsState
 
 /**
@@ -16,7 +16,6 @@
 internal class EntriesHandler(
     private val members: () -> Collection<Member>,
     private val settings: () -> SettingsState,
-    private val rank: (key: String, ids: Collection<InstanceId>) -> List<InstanceId>,
     private val keepSeconds: Long
 ) {
     @Serializable
@@ -28,8 +27,8 @@
     fun handle(ctx: Context) {
         val organisation = ctx.queryParam("organisation").orEmpty()
         val homes = settings().effective(OrganisationId(organisation)).homeNodes
-        val alive = members().filter { it.state == MemberState.ALIVE }.associateBy { it.id }
-        val chosen = rank(organisation, alive.keys).take(homes).mapNotNull { alive[it] }
+        val alive = members().filter { it.state == MemberState.ALIVE }
+        val chosen = Rendezvous.top(organisation, alive, homes) { it.id.value }
         val entries = chosen.map { Entry(it.id.value, it.callerAddress, it.dataCentre.value) }
         ctx.header("Cache-Control", "max-age=$keepSeconds").contentType("application/json")
         ctx.result(Json.encodeToString(Entries.serializer(), Entries(entries, keepSeconds)))
--- a/node/src/main/kotlin/org/bramleytrestle/node/request/CompletionExecutor.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/request/CompletionExecutor.kt
@@ -33,16 +33,14 @@
 /**
  * Runs completions: queue, chain, and after a failure the rest of the answer on another chain.
  *
- * @property onFailure told of servers that failed, so that no request goes there soon.
  * @property onPriority asks all hops of a running attempt for a new priority.
  */
 internal class CompletionExecutor(
-    private val router: RequestRouter,
     private val acquirer: DispatchAcquirer,
+    private val retrier: AttemptRetrier,
     private val runner: ChainRunner,
     private val clock: TimeSource.WithComparableMarks,
     private val metrics: NodeMetrics,
-    private val onFailure: (InstanceId, HopFailure) -> Unit,
     private val onPriority: (ChainWork, Int) -> Unit
 ) {
     /** Passes every token of the answer to [emit], once and in order. */
@@ -53,15 +51,7 @@
     ): Result<CompletionEnd, Failure> {
         val run = Run(request, model, emit)
         val left = request.deadline - clock.markNow()
-        val result = try {
-            withTimeoutOrNull(left) { run.attempts() }
-        } catch (e: CancellationException) {
-            run.lifecycle.abandoned()
-            throw e
-        }
-        return result ?: Err(
-            run.lifecycle.ended(Failure(ErrorKind.DEADLINE_NOT_RUN, "the deadline has passed"))
-        )
+        return run.lifecycle.withinDeadline(left, run::attempts)
     }
 
     private inner class Run(
@@ -94,7 +84,7 @@
             organisation = request.organisation,
             service = request.service,
             model = request.model,
-            promptTokens = request.prompt.split(' ').size,
+            promptTokens = request.promptTokens,
             maxTokens = request.maxTokens,
             deadline = request.deadline,
             sideKey = request.callerKey
@@ -162,24 +152,16 @@
             failed: StreamEvent.Failed
         ): Result<Work, Failure> {
             val (instance, failure) = failed
-            val overloaded = failure == HopFailure.FULL
-            dispatch.finish(AttemptOutcome.Failed(instance, overloaded))
-            onFailure(instance, failure)
             // A later hop that refuses proves nothing: the hops before it have run.
             val notRun = failure.notRun && instance == dispatch.hops.first().instance
             if (notRun) lifecycle.provenNotRun()
-            log.info { "node: attempt ${work.attempt} of ${request.id}: $instance $failure" }
             val attempt = FailedAttempt(instance, notRun, RepeatPolicy.REPEATABLE, dispatch.side)
-            val decision = router.retry(work.copy(emittedTokens = emitted.size), attempt)
-            return when (decision) {
-                is RetryDecision.Again -> {
-                    metrics.retry()
-                    delay(decision.delay)
-                    Ok(decision.work)
-                }
-                is RetryDecision.GiveUp ->
-                    Err(Failure(decision.kind, "$instance failed the request: $failure"))
-            }
+            return retrier.next(
+                work.copy(emittedTokens = emitted.size),
+                dispatch,
+                attempt,
+                failure
+            )
         }
     }
 }
--- a/node/src/main/kotlin/org/bramleytrestle/node/request/CompletionRequest.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/request/CompletionRequest.kt
@@ -16,4 +16,7 @@
     val maxTokens: Int,
     val deadline: ComparableTimeMark,
     val callerKey: String
-)
+) {
+    /** Words of the prompt, as an estimate; engines alone know the exact tokens. */
+    val promptTokens: Int = prompt.split(' ').size
+}
--- a/node/src/main/kotlin/org/bramleytrestle/node/request/ServiceExecutor.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/request/ServiceExecutor.kt
@@ -33,13 +33,12 @@
 
 /** Runs calls of plain services under their repeat policy. */
 internal class ServiceExecutor(
-    private val router: RequestRouter,
     private val acquirer: DispatchAcquirer,
+    private val retrier: AttemptRetrier,
     private val client: ServiceClient,
     private val records: CallRecorder,
     private val clock: TimeSource.WithComparableMarks,
-    private val metrics: NodeMetrics,
-    private val onFailure: (InstanceId, HopFailure) -> Unit
+    private val metrics: NodeMetrics
 ) {
     suspend fun run(request: ServiceRequest): Result<ServiceOutcome.Answer, Failure> {
         if (request.policy != RepeatPolicy.NEVER || request.idempotencyKey == null) {
@@ -66,14 +65,7 @@
 
         suspend fun bounded(): Result<ServiceOutcome.Answer, Failure> {
             val left = request.deadline - clock.markNow()
-            val result = try {
-                withTimeoutOrNull(left) { attempts() }
-            } catch (e: CancellationException) {
-                lifecycle.abandoned()
-                throw e
-            }
-            val late = Failure(ErrorKind.DEADLINE_NOT_RUN, "the deadline has passed")
-            return result ?: Err(lifecycle.ended(late))
+            return lifecycle.withinDeadline(left, ::attempts)
         }
 
         private suspend fun attempts(): Result<ServiceOutcome.Answer, Failure> {
@@ -136,20 +128,9 @@
             notRun: Boolean
         ): Result<Work, Failure> {
             val instance = dispatch.hops.first().instance
-            dispatch.finish(AttemptOutcome.Failed(instance, failure == HopFailure.FULL))
-            onFailure(instance, failure)
             if (notRun) lifecycle.provenNotRun()
-            log.info { "node: attempt ${work.attempt} of ${request.id}: $instance $failure" }
             val attempt = FailedAttempt(instance, notRun, request.policy, dispatch.side)
-            return when (val decision = router.retry(work, attempt)) {
-                is RetryDecision.Again -> {
-                    metrics.retry()
-                    delay(decision.delay)
-                    Ok(decision.work)
-                }
-                is RetryDecision.GiveUp ->
-                    Err(Failure(decision.kind, "$instance failed the call: $failure"))
-            }
+            return retrier.next(work, dispatch, attempt, failure)
         }
     }
 }
--- a/node/src/main/kotlin/org/bramleytrestle/node/servers/ReportPoller.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/servers/ReportPoller.kt
@@ -19,22 +19,27 @@
  * Polls the load of the backend servers that this node is responsible for and shares it with the
  * other nodes in batches.
  *
- * @property rank this node's place among the nodes that poll a server: 0 polls at [interval], 1
- * stands by at a quarter of that rate, null does not poll.
+ * @property ranks this node's place among the nodes that poll a server, for those that it polls:
+ * 0 polls at [interval], 1 stands by at a quarter of that rate.
  */
 internal class ReportPoller(
     private val control: EngineControl,
     private val registry: ServerRegistry,
-    private val rank: (Instance) -> Int?,
+    private val ranks: (Collection<Instance>) -> Map<InstanceId, Int>,
     private val share: (List<LoadReport>) -> Unit,
     private val interval: Duration = 1.seconds
 ) {
     private val jobs = HashMap<InstanceId, Job>()
+
+    @Volatile
+    private var ranked: Map<InstanceId, Int> = emptyMap()
     private val fresh = ConcurrentLinkedQueue<LoadReport>()
 
     suspend fun run(scope: CoroutineScope) {
         while (true) {
-            val wanted = registry.backendServers().filter { rank(it) != null }.associateBy { it.id }
+            val servers = registry.backendServers()
+            ranked = ranks(servers)
+            val wanted = servers.filter { it.id in ranked }.associateBy { it.id }
             jobs.entries.removeIf { (id, job) -> (id !in wanted).also { if (it) job.cancel() } }
             for ((id, instance) in wanted) jobs.getOrPut(id) { scope.launch { poll(instance) } }
             val batch = generateSequence { fresh.poll() }.toList()
@@ -56,7 +61,7 @@
                     failures++
                     if (failures >= FAILURES_UNTIL_REST) registry.failed(instance.id, failure)
                 }
-            delay(if (rank(instance) == 0) interval else interval * STANDBY_FACTOR)
+            delay(if (ranked[instance.id] == 0) interval else interval * STANDBY_FACTOR)
         }
     }
 
--- a/node/src/main/kotlin/org/bramleytrestle/node/servers/ServerRegistry.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/servers/ServerRegistry.kt
@@ -87,15 +87,18 @@
     }
 
     /** Servers that may get new work. */
-    fun usable(): Map<InstanceId, Instance> = listed.filter { (id, instance) ->
-        !instance.leaving && signs[id].let { it == null || usable(it) }
-    }
+    fun usable(): Map<InstanceId, Instance> = listed.filterValues(::usable)
+
+    /** Whether [id] may get new work; asked for each hop of each request. */
+    fun isUsable(id: InstanceId): Boolean = listed[id]?.let(::usable) ?: false
 
     fun reports(): Map<InstanceId, LoadReport> = buildMap {
         for ((id, sign) in signs) sign.report?.let { put(id, it) }
     }
 
-    private fun usable(signs: ServerSigns): Boolean {
+    private fun usable(instance: Instance): Boolean {
+        if (instance.leaving) return false
+        val signs = signs[instance.id] ?: return true
         if (signs.leavingSince != null) return false
         val failedAt = signs.failedAt ?: return true
         // A report after the failure shows that the server answers again.
--- a/node/src/main/kotlin/org/bramleytrestle/node/http/ChangeRequest.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/settings/ChangeRequest.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.node.http
+package org.bramleytrestle.node.settings
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.JsonObject
--- a/node/src/main/kotlin/org/bramleytrestle/node/settings/ChangeWriter.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/settings/ChangeWriter.kt
@@ -8,7 +8,6 @@
 import kotlinx.coroutines.launch
 import org.bramleytrestle.model.ErrorKind
 import org.bramleytrestle.model.Failure
-import org.bramleytrestle.node.http.ChangeRequest
 import org.bramleytrestle.platform.AppendOutcome
 import org.bramleytrestle.platform.ChangeLog
 import org.bramleytrestle.settings.Change
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/DefaultRequestRouter.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/DefaultRequestRouter.kt
@@ -36,7 +36,6 @@
     private val planner: ChainPlanner,
     private val clock: TimeSource.WithComparableMarks,
     random: Random,
-    private val split: (Work, EffectiveSettings) -> Side = ::splitByHash,
     private val limiter: OrganisationLimiter? = null,
     private val scope: CoroutineScope = CoroutineScope(SupervisorJob() + Dispatchers.Default),
     private val maxQueued: Int = MAX_QUEUED
@@ -88,8 +87,7 @@
         return retries.decide(work, failed, service(work).budget, running)
     }
 
-    /** Reconsiders queued work after the planner published a snapshot. */
-    public fun onSnapshot() {
+    override fun onSnapshot() {
         limits.onSnapshot()
         targets.values.forEach { it.onChange() }
     }
@@ -128,7 +126,7 @@
      * because nothing was run, unless a share of 0 or 1 keeps all work on one side.
      */
     private fun side(work: Work, settings: EffectiveSettings): Side? {
-        val chosen = work.side ?: split(work, settings)
+        val chosen = work.side ?: work.splitSide(settings)
         val fixed = work.side != null || settings.newShare <= 0.0 || settings.newShare >= 1.0
         val sides = if (fixed) listOf(chosen) else listOf(chosen, chosen.other())
         return sides.firstOrNull { planner.exists(work.query(it, work.maxTokens)) }
@@ -147,12 +145,6 @@
     }
 }
 
-/** Splits by a hash of organisation, service and caller key. */
-internal fun splitByHash(work: Work, settings: EffectiveSettings): Side {
-    val key = "${work.organisation}/${work.service}/${work.sideKey}".hashCode()
-    val point = (key * GOLDEN_RATIO).toUInt().toDouble() / UInt.MAX_VALUE.toDouble()
-    return if (point < settings.newShare) Side.NEW else Side.OLD
-}
-
-/** 2^32 divided by the golden ratio; spreads neighbouring hash values. */
-private const val GOLDEN_RATIO = -1640531527
+/** Side of a first attempt by the share in force. */
+internal fun Work.splitSide(settings: EffectiveSettings): Side =
+    SideSplit.side(organisation, service, sideKey, settings.newShare)
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/FairQueue.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/FairQueue.kt
@@ -88,8 +88,6 @@
     /** The first [count] later attempts; one without a server must not block the next. */
     fun laterAttempts(count: Int): List<QueuedWork> = first.take(count)
 
-    fun hasWaiting(workClass: WorkClass): Boolean = lanes.getValue(workClass).ready.isNotEmpty()
-
     /** Sets the work of [organisation] aside until its limit has room. */
     fun park(organisation: OrganisationId) {
         flows[organisation]?.let { change(it) { parked = true } }
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/FifoRequestRouter.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/FifoRequestRouter.kt
@@ -25,8 +25,7 @@
 @OptIn(ExperimentalCoroutinesApi::class)
 public class FifoRequestRouter(
     private val planner: ChainPlanner,
-    private val clock: TimeSource.WithComparableMarks,
-    private val split: (Work, EffectiveSettings) -> Side = ::splitByHash
+    private val clock: TimeSource.WithComparableMarks
 ) : RequestRouter {
     private val inFlight = ConcurrentHashMap<InstanceId, AtomicInteger>()
     private val queue = LinkedHashSet<Entry>()
@@ -37,7 +36,7 @@
 
     override suspend fun acquire(work: Work): Result<Dispatch, Failure> {
         val settings = planner.snapshot.settings.effective(work.organisation, work.service)
-        val entry = Entry(work, work.side ?: split(work, settings))
+        val entry = Entry(work, work.side ?: work.splitSide(settings))
         if (!planner.exists(query(entry))) {
             return work.refusal(ErrorKind.NO_ROUTE, "no server for ${work.service}")
         }
@@ -74,7 +73,7 @@
     }
 
     /** Starts queued work in order of arrival until the first entry without room. */
-    public fun onSnapshot(): Unit = synchronized(queue) {
+    override fun onSnapshot(): Unit = synchronized(queue) {
         while (true) {
             val entry = queue.firstOrNull() ?: return
             val plan = planner.choose(query(entry)) ?: return
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/RequestRouter.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/RequestRouter.kt
@@ -13,4 +13,7 @@
 
     /** Decides whether another attempt may follow a failed one. */
     public fun retry(work: Work, failed: FailedAttempt): RetryDecision
+
+    /** Reconsiders queued work after the planner published a snapshot. */
+    public fun onSnapshot()
 }
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/DemoMain.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/fleet/DemoMain.kt
@@ -52,7 +52,7 @@
     fleet.startService("booking-1", "booking", "dc1")
 }
 
-/** Asks for the entries until the node has heard of its servers. */
+/** The first address that callers of the organisation should use. */
 private fun entry(fleet: FleetLauncher): String {
     val url = "${fleet.callers("node-1")}/v1/entries?organisation=$ORGANISATION"
     val entries = fleet.http.get(url).jsonObject.getValue("entries").jsonArray
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/measure/BlockingMeasurement.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/measure/BlockingMeasurement.kt
@@ -11,7 +11,7 @@
         val ratio: Double get() = with / without
     }
 
-    private val engines = mixedEngines(FAST_MICROS, SLOW_MICROS, SLOTS)
+    private val engines = mixedEngines()
 
     fun run(seed: Long): MeasureReport {
         val baseline = measure("baseline", seed)
@@ -64,9 +64,6 @@
 
     private companion object {
         const val TARGET = 1.5
-        const val FAST_MICROS = 2_000L
-        const val SLOW_MICROS = 6_000L
-        const val SLOTS = 4
         const val SHORT_TOKENS = 8
         const val SHORT_SHARE = 0.4
         const val LONG_TOKENS = 400
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/measure/MeasureSettings.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/measure/MeasureSettings.kt
@@ -13,11 +13,11 @@
     |defaults: {newShare: 1.0, maxTokens: 2000, shortTokens: 32, deadlineMillis: 60000}
 """.trimMargin()
 
-/** Two layer ranges, each held by fast and slow engines. */
+/** Two layer ranges, each held by fast and slow engines; times per layer in microseconds. */
 internal fun mixedEngines(
-    fastMicros: Long,
-    slowMicros: Long,
-    slots: Int,
+    fastMicros: Long = 2_000,
+    slowMicros: Long = 6_000,
+    slots: Int = 4,
     each: Int = 2
 ): List<EngineSpec> {
     val ranges = listOf(LayerRange(0, LAYERS / 2), LayerRange(LAYERS / 2, LAYERS))
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/measure/PeakMeasurement.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/measure/PeakMeasurement.kt
@@ -12,7 +12,7 @@
         val slowest: Double
     )
 
-    private val engines = mixedEngines(FAST_MICROS, SLOW_MICROS, SLOTS)
+    private val engines = mixedEngines()
 
     fun run(seed: Long): MeasureReport {
         val baseline = measure("baseline", seed)
@@ -57,9 +57,6 @@
 
     private companion object {
         const val TARGET = 0.95
-        const val FAST_MICROS = 2_000L
-        const val SLOW_MICROS = 6_000L
-        const val SLOTS = 4
         const val TOKENS = 16
         const val PEAK = 3.0
         const val P95 = 0.95
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/measure/StreamCaller.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/measure/StreamCaller.kt
@@ -22,10 +22,7 @@
         .readTimeout(READ_SECONDS, TimeUnit.SECONDS)
         .build()
 
-    fun call(entry: String, service: String, tokens: Int, deadlineMillis: Long, text: String) =
-        exchange(entry, service, tokens, deadlineMillis, text)
-
-    private fun exchange(
+    fun call(
         entry: String,
         service: String,
         tokens: Int,
--- a/standins/src/main/kotlin/org/bramleytrestle/standins/measure/ThroughputMeasurement.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/measure/ThroughputMeasurement.kt
@@ -7,7 +7,7 @@
 
 /** Output tokens per second with more callers than the engines have room for. */
 internal class ThroughputMeasurement(private val home: Path) {
-    private val engines = mixedEngines(FAST_MICROS, SLOW_MICROS, SLOTS)
+    private val engines = mixedEngines()
 
     fun run(seed: Long): MeasureReport {
         val baseline = tokensPerSecond("baseline", seed)
@@ -59,9 +59,6 @@
 
     private companion object {
         const val TARGET = 0.9
-        const val FAST_MICROS = 2_000L
-        const val SLOW_MICROS = 6_000L
-        const val SLOTS = 4
         const val CALLERS = 96
         const val MIN_TOKENS = 16
         const val MAX_TOKENS = 96
