--- a/backend/src/main/kotlin/org/bramleytrestle/backend/HopByHop.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/HopByHop.kt
@@ -1,7 +1,7 @@
 package org.bramleytrestle.backend
 
 /** Headers that concern one connection only and are not forwarded (RFC 9110, section 7.6.1). */
-internal object HopByHop {
+public object HopByHop {
     private val always = setOf(
         "connection",
         "keep-alive",
@@ -17,7 +17,7 @@
     )
 
     /** Lower-case names of the headers to drop, including those that `Connection` lists. */
-    fun names(headers: Map<String, String>): Set<String> = always + headers
+    public fun names(headers: Map<String, String>): Set<String> = always + headers
         .filterKeys { it.equals("Connection", ignoreCase = true) }
         .values
         .flatMap { it.split(',') }
--- a/backend/src/main/kotlin/org/bramleytrestle/backend/OneShotBody.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/OneShotBody.kt
@@ -5,7 +5,7 @@
 import okio.BufferedSink
 
 /** A body that OkHttp must not write twice. */
-internal class OneShotBody(private val bytes: ByteArray, private val type: MediaType?) :
+public class OneShotBody(private val bytes: ByteArray, private val type: MediaType?) :
     RequestBody() {
     override fun contentType(): MediaType? = type
 
--- a/backend/src/main/kotlin/org/bramleytrestle/backend/RetryAfterGuard.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/RetryAfterGuard.kt
@@ -7,7 +7,7 @@
  * Hides `Retry-After` from OkHttp, which sends a request again after 503 with `Retry-After: 0` even
  * if retries are off; a one-shot body prevents that only for methods that have a body.
  */
-internal object RetryAfterGuard : Interceptor {
+public object RetryAfterGuard : Interceptor {
     private const val RETRY_AFTER = "Retry-After"
     private const val HIDDEN = "X-Backend-Retry-After"
 
@@ -18,6 +18,6 @@
     }
 
     /** The name that the server gave to the header [name]. */
-    fun originalName(name: String): String =
+    public fun originalName(name: String): String =
         if (name.equals(HIDDEN, ignoreCase = true)) RETRY_AFTER else name
 }
--- a/backend/src/main/kotlin/org/bramleytrestle/backend/SendRecord.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/SendRecord.kt
@@ -6,18 +6,18 @@
 import okhttp3.EventListener
 
 /** Records whether bytes of one call may have been written, which decides if it can have run. */
-internal class SendRecord : EventListener() {
+public class SendRecord : EventListener() {
     private val starts = AtomicInteger()
 
     /** How often the request was started on a connection. */
-    val sends: Int get() = starts.get()
+    public val sends: Int get() = starts.get()
 
     override fun requestHeadersStart(call: Call) {
         starts.incrementAndGet()
     }
 
     /** Kind of the failure [cause] of this call. */
-    fun failureOf(cause: IOException): HopFailure = when {
+    public fun failureOf(cause: IOException): HopFailure = when {
         sends == 0 -> HopFailure.UNREACHABLE
         cause.isTimeout() -> HopFailure.SILENT
         else -> HopFailure.BROKEN
--- a/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
@@ -43,12 +43,6 @@
 import org.bramleytrestle.node.settings.ChangeWriter
 import org.bramleytrestle.node.settings.SettingsFollower
 import org.bramleytrestle.node.settings.SettingsHolder
-import org.bramleytrestle.platform.BudgetedObjectStore
-import org.bramleytrestle.platform.CallRecords
-import org.bramleytrestle.platform.ChangeLog
-import org.bramleytrestle.platform.HttpObjectStore
-import org.bramleytrestle.platform.InstanceList
-import org.bramleytrestle.platform.PlatformCallBudget
 import org.bramleytrestle.routing.ChainPlanner
 import org.bramleytrestle.routing.DefaultChainPlanner
 import org.bramleytrestle.routing.DefaultRequestRouter
@@ -60,6 +54,12 @@
 import org.bramleytrestle.routing.RoutingSnapshot
 import org.bramleytrestle.routing.ServerSubset
 import org.bramleytrestle.settings.Change
+import org.bramleytrestle.store.BudgetedObjectStore
+import org.bramleytrestle.store.CallRecords
+import org.bramleytrestle.store.ChangeLog
+import org.bramleytrestle.store.HttpObjectStore
+import org.bramleytrestle.store.InstanceList
+import org.bramleytrestle.store.PlatformCallBudget
 
 private val log = KotlinLogging.logger {}
 
--- a/node/src/main/kotlin/org/bramleytrestle/node/http/AdminHandlers.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/http/AdminHandlers.kt
@@ -16,11 +16,11 @@
 import org.bramleytrestle.node.settings.ChangeRequest
 import org.bramleytrestle.node.settings.ChangeWriter
 import org.bramleytrestle.node.settings.SettingsHolder
-import org.bramleytrestle.platform.StoreError
 import org.bramleytrestle.settings.Change
 import org.bramleytrestle.settings.EffectiveValue
 import org.bramleytrestle.settings.SettingsDifference
 import org.bramleytrestle.settings.SettingsReport
+import org.bramleytrestle.store.StoreError
 
 private val log = KotlinLogging.logger {}
 
--- a/node/src/main/kotlin/org/bramleytrestle/node/request/PlatformCallRecorder.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/request/PlatformCallRecorder.kt
@@ -13,10 +13,10 @@
 import org.bramleytrestle.model.ErrorKind
 import org.bramleytrestle.model.Failure
 import org.bramleytrestle.model.RequestId
-import org.bramleytrestle.platform.CallBegin
-import org.bramleytrestle.platform.CallKey
-import org.bramleytrestle.platform.CallRecords
-import org.bramleytrestle.platform.RecordedCall
+import org.bramleytrestle.store.CallBegin
+import org.bramleytrestle.store.CallKey
+import org.bramleytrestle.store.CallRecords
+import org.bramleytrestle.store.RecordedCall
 
 /** Keeps the records of calls that may not be repeated in the platform. */
 internal class PlatformCallRecorder(private val records: CallRecords) : CallRecorder {
--- a/node/src/main/kotlin/org/bramleytrestle/node/settings/ChangeWriter.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/settings/ChangeWriter.kt
@@ -8,9 +8,9 @@
 import kotlinx.coroutines.launch
 import org.bramleytrestle.model.ErrorKind
 import org.bramleytrestle.model.Failure
-import org.bramleytrestle.platform.AppendOutcome
-import org.bramleytrestle.platform.ChangeLog
 import org.bramleytrestle.settings.Change
+import org.bramleytrestle.store.AppendOutcome
+import org.bramleytrestle.store.ChangeLog
 
 /** Accepts changes of operators: checks them, appends them to the log, puts them in force. */
 internal class ChangeWriter(
--- a/node/src/main/kotlin/org/bramleytrestle/node/settings/SettingsFollower.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/settings/SettingsFollower.kt
@@ -9,8 +9,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
-import org.bramleytrestle.platform.ChangeLog
 import org.bramleytrestle.settings.SettingsState
+import org.bramleytrestle.store.ChangeLog
 
 /**
  * Follows the change log while this node is one of its data centre's watchers. Other nodes get
--- a/routing/src/main/kotlin/org/bramleytrestle/routing/RetryBudget.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/RetryBudget.kt
@@ -7,7 +7,7 @@
  * Bounds the retries of one service to a fraction of its first attempts over a sliding window.
  * Without it every failure under overload would add load.
  */
-internal class RetryBudget(clock: TimeSource.WithComparableMarks) {
+public class RetryBudget(clock: TimeSource.WithComparableMarks) {
     private val start = clock.markNow()
     private val firsts = IntArray(SLOTS)
     private val retries = IntArray(SLOTS)
@@ -15,14 +15,15 @@
     private var newest = 0L
 
     @Synchronized
-    fun countFirst() {
+    public fun countFirst() {
         firsts[slot()]++
     }
 
+    /** Takes one retry, if the window allows [fraction] per first attempt and [floor] besides. */
     @Synchronized
-    fun tryRetry(fraction: Double): Boolean {
+    public fun tryRetry(fraction: Double, floor: Int = FLOOR): Boolean {
         val slot = slot()
-        if (retries.sum() >= firsts.sum() * fraction + FLOOR) return false
+        if (retries.sum() >= firsts.sum() * fraction + floor) return false
         retries[slot]++
         return true
     }
@@ -32,7 +33,7 @@
      * cannot exhaust it: each running stream and each first attempt allows one resumption.
      */
     @Synchronized
-    fun tryRecovery(running: Int): Boolean {
+    public fun tryRecovery(running: Int): Boolean {
         val slot = slot()
         if (recoveries.sum() >= firsts.sum() + running + FLOOR) return false
         recoveries[slot]++
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/CallerReply.kt
@@ -0,0 +1,26 @@
+package org.bramleytrestle.serving
+
+import java.io.IOException
+import kotlin.time.Duration
+import org.bramleytrestle.model.ErrorKind
+
+/** The answer to one request. Every call throws [CallerGone] once the caller cannot be reached. */
+public interface CallerReply {
+    /** Answers with an error of the node's own. */
+    public fun refuse(kind: ErrorKind, detail: String, retryAfter: Duration? = null)
+
+    /** Passes a server's whole answer on. */
+    public fun answer(answer: ServerReply.Whole)
+
+    public fun beginStream(head: ServerReply.Events)
+
+    public fun event(event: StreamEvent)
+
+    public fun endStream()
+
+    /** Breaks the connection so that the answer cannot be taken for complete. */
+    public fun abort()
+
+    /** The caller has closed its connection. */
+    public class CallerGone(cause: IOException) : IOException(cause)
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/EntryNode.kt
@@ -0,0 +1,4 @@
+package org.bramleytrestle.serving
+
+/** A node that callers may connect to. */
+public data class EntryNode(val id: String, val address: String, val dataCentre: String)
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Fleet.kt
@@ -0,0 +1,15 @@
+package org.bramleytrestle.serving
+
+/** All backend servers known at one moment. */
+public class Fleet(servers: Collection<BackendServer>) {
+    public val byId: Map<String, BackendServer> = servers.associateBy { it.id }
+
+    /** Servers that take new work, by service. */
+    public val ready: Map<String, List<BackendServer>> = servers.filterNot { it.leaving }
+        .sortedBy { it.id }
+        .groupBy { it.service }
+
+    public companion object {
+        public val EMPTY: Fleet = Fleet(emptyList())
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/NodeDirectory.kt
@@ -0,0 +1,77 @@
+package org.bramleytrestle.serving
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapBoth
+import io.github.oshai.kotlinlogging.KotlinLogging
+import java.security.SecureRandom
+import java.util.HexFormat
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.jsonPrimitive
+import org.bramleytrestle.store.ObjectStore
+import org.bramleytrestle.store.StoreError
+import org.bramleytrestle.store.StoredObject
+
+/** What nodes need from the store to find each other: a shared secret and peer addresses. */
+public class NodeDirectory(private val store: ObjectStore) {
+    /** The secret that all nodes share; made by the first node that asks. */
+    public suspend fun secret(): ByteArray {
+        while (true) {
+            val found = store.get(SECRETS, CURRENT).mapBoth(
+                { it.value.jsonPrimitive.contentOrNull },
+                { error -> if (error == StoreError.NOT_FOUND) createSecret() else null }
+            )
+            if (found != null) return HexFormat.of().parseHex(found)
+            delay(RETRY)
+        }
+    }
+
+    /** States where this node's peers reach it; an entry of an earlier address is replaced. */
+    public suspend fun register(id: String, peerAddress: String) {
+        val value = JsonPrimitive(peerAddress)
+        while (true) {
+            val error = store.create(NODES, id, value).mapBoth({ return }, { it })
+            if (error == StoreError.ALREADY_EXISTS) {
+                val known = store.get(NODES, id).getOrElse { null }
+                if (known?.value == value) return
+                if (known != null && update(known, value).isOk) return
+            }
+            log.warn { "membership: registration of $id failed: $error" }
+            delay(RETRY)
+        }
+    }
+
+    /** Peer addresses of all nodes that ever registered. */
+    public suspend fun peers(): Result<List<String>, StoreError> {
+        val listed = store.list(NODES)
+        return listed.mapBoth(
+            { found -> com.github.michaelbull.result.Ok(found.items.mapNotNull(::address)) },
+            { com.github.michaelbull.result.Err(it) }
+        )
+    }
+
+    private fun address(item: StoredObject) = (item.value as? JsonPrimitive)?.contentOrNull
+
+    private suspend fun update(known: StoredObject, value: JsonPrimitive) =
+        store.update(NODES, known.name, value, known.version)
+
+    private suspend fun createSecret(): String? {
+        val bytes = ByteArray(SECRET_BYTES).also(SecureRandom()::nextBytes)
+        val text = HexFormat.of().formatHex(bytes)
+        return store.create(SECRETS, CURRENT, JsonPrimitive(text)).mapBoth({ text }, { null })
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        const val NODES = "entry-nodes"
+        const val SECRETS = "peer-secrets"
+        const val CURRENT = "current"
+        const val SECRET_BYTES = 32
+
+        /** Time between two tries while the store does not answer. */
+        val RETRY = 300.milliseconds
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Organisation.kt
@@ -0,0 +1,4 @@
+package org.bramleytrestle.serving
+
+/** A customer and the keys that prove to be it. */
+public data class Organisation(val name: String, val keys: Set<String>, val priority: Int? = null)
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PeerMembership.kt
@@ -0,0 +1,54 @@
+package org.bramleytrestle.serving
+
+import kotlinx.coroutines.CoroutineScope
+import org.bramleytrestle.cluster.Cluster
+import org.bramleytrestle.cluster.ClusterListener
+import org.bramleytrestle.cluster.ClusterSettings
+import org.bramleytrestle.cluster.Clusters
+import org.bramleytrestle.cluster.LimitDemand
+import org.bramleytrestle.cluster.LimitGrant
+import org.bramleytrestle.cluster.MemberState
+import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.LoadReport
+import org.bramleytrestle.settings.Change
+import org.bramleytrestle.settings.SettingsState
+
+/** The other nodes, as the peer protocol sees them. */
+public class PeerMembership(settings: ClusterSettings, scope: CoroutineScope) {
+    private val own = settings.id
+    private val cluster: Cluster = Clusters.tcp(settings, Ignoring, scope)
+
+    /** Nodes that callers may use. */
+    public val entries: List<EntryNode>
+        get() = cluster.members.value.values
+            .filter { it.state == MemberState.ALIVE || it.state == MemberState.SUSPECT }
+            .map { EntryNode(it.id.value, it.callerAddress, it.dataCentre.value) }
+
+    /** Whether this node is the first of all that are certainly alive. */
+    public val isFirst: Boolean
+        get() = cluster.members.value.values.filter { it.state == MemberState.ALIVE }
+            .minOfOrNull { it.id.value }.let { it == null || it >= own.value }
+
+    public suspend fun start(): Unit = cluster.start()
+
+    public fun addSeeds(addresses: Collection<String>): Unit = cluster.addSeeds(addresses)
+
+    public fun leave(): Unit = cluster.leave()
+
+    /** Settings come from the store on a platform of objects, so peers only tell who lives. */
+    private object Ignoring : ClusterListener {
+        override fun settings(): SettingsState = SettingsState.EMPTY
+
+        override fun changesAfter(revision: Long): List<Change> = emptyList()
+
+        override fun onChanges(changes: List<Change>) = Unit
+
+        override fun onState(state: SettingsState) = Unit
+
+        override fun onReports(reports: List<LoadReport>) = Unit
+
+        override fun onDemand(from: InstanceId, demand: List<LimitDemand>) = Unit
+
+        override fun onGrants(from: InstanceId, grants: List<LimitGrant>) = Unit
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestHandler.kt
@@ -0,0 +1,87 @@
+package org.bramleytrestle.serving
+
+import kotlin.time.Duration
+import org.bramleytrestle.model.ErrorKind
+import org.bramleytrestle.model.StableHash
+
+/** Decides what happens to a request: which route, whose key, served by whom or refused. */
+public class RequestHandler(
+    private val configs: ConfigHolder,
+    private val bounds: ServingBounds,
+    private val lifecycle: NodeLifecycle,
+    private val plain: PlainExecutor,
+    private val streams: StreamExecutor,
+    private val onEnd: (RequestTrace, RequestOutcome, Duration) -> Unit,
+    private val now: () -> Moment = Moment::now
+) {
+    private class Refusal(val kind: ErrorKind, val detail: String)
+
+    public fun handle(request: CallerRequest, reply: CallerReply) {
+        val config = configs.config
+        val age = configs.confirmationAge()
+        val trace = RequestTrace(request.id, config?.version, age)
+        val outcome = try {
+            if (config == null || age == null) {
+                refuse(request, reply, Refusal(ErrorKind.PLATFORM_UNAVAILABLE, "no settings yet"))
+            } else {
+                route(request, reply, config, age, trace)
+            }
+        } catch (e: CallerReply.CallerGone) {
+            RequestOutcome.failed(null, "caller left: ${e.message}")
+        }
+        onEnd(trace, outcome, now().since(request.receivedAt))
+    }
+
+    private fun route(
+        request: CallerRequest,
+        reply: CallerReply,
+        config: RoutingConfig,
+        age: Duration,
+        trace: RequestTrace
+    ): RequestOutcome {
+        val stale = age > bounds.keyTrust
+        val route = config.route(request.host, request.path)
+        trace.route = route?.name
+        val owner = request.key?.let(config::organisationOf)
+        trace.organisation = owner?.name
+        val keyed = route != null && config.keysRequired && !route.publicAccess
+        val refusal = when {
+            lifecycle.refusesAll -> Refusal(ErrorKind.LEAVING, "the node ends")
+            stale && (route == null || keyed) ->
+                Refusal(ErrorKind.PLATFORM_UNAVAILABLE, "settings unconfirmed for $age")
+            route == null -> Refusal(ErrorKind.NOT_FOUND, "no route for the path")
+            keyed && owner == null -> Refusal(ErrorKind.UNAUTHENTICATED, "unknown key")
+            lifecycle.refusesStreams && route.kind == RequestKind.STREAM ->
+                Refusal(ErrorKind.LEAVING, "the node ends")
+            request.body.size > config.limits.bodyBytes ->
+                Refusal(ErrorKind.BODY_TOO_LARGE, "the body is too large")
+            else -> null
+        }
+        if (refusal != null || route == null) {
+            return refuse(request, reply, refusal ?: error("a missing route is refused"))
+        }
+        val service = config.services[pick(route, request.id)]
+            ?: return refuse(request, reply, Refusal(ErrorKind.NO_ROUTE, "service not described"))
+        val patience = minOf(route.timeout, request.patience ?: route.timeout)
+        val task = RequestTask(request, reply, route, service, owner, patience, trace)
+        return if (service.model != null && service.model.layers > 0) {
+            streams.run(task)
+        } else {
+            plain.run(task)
+        }
+    }
+
+    private fun pick(route: Route, id: String): String {
+        val total = route.shares.sumOf { it.weight }
+        if (total <= 0) return route.shares.first().service
+        var point = Math.floorMod(StableHash.of(id), total.toLong())
+        for (share in route.shares) {
+            point -= share.weight
+            if (point < 0) return share.service
+        }
+        error("weights of ${route.name} sum up to $total")
+    }
+
+    private fun refuse(request: CallerRequest, reply: CallerReply, refusal: Refusal) =
+        refuseTask(request, reply, refusal.kind, refusal.detail, now())
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestTask.kt
@@ -0,0 +1,17 @@
+package org.bramleytrestle.serving
+
+import kotlin.time.Duration
+
+/** A request that was let in, with all that its execution needs. */
+public class RequestTask(
+    public val request: CallerRequest,
+    public val reply: CallerReply,
+    public val route: Route,
+    public val service: BackendService,
+    public val owner: Organisation?,
+    public val patience: Duration,
+    public val trace: RequestTrace
+) {
+    public val deadlineNanos: Long
+        get() = request.receivedAt.steadyNanos + patience.inWholeNanoseconds
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestTrace.kt
@@ -0,0 +1,30 @@
+package org.bramleytrestle.serving
+
+import kotlin.time.Duration
+
+/**
+ * Everything that decided the course of one request, for the one log line at its end.
+ *
+ * @property configAge age of the store's confirmation that [configVersion] was the newest.
+ */
+public class RequestTrace(
+    public val id: String,
+    public val configVersion: Long?,
+    public val configAge: Duration?
+) {
+    private val attempts = StringBuilder()
+
+    public var route: String? = null
+    public var organisation: String? = null
+
+    public val attemptLog: String get() = attempts.toString()
+
+    public fun attempt(target: String, load: String) {
+        if (attempts.isNotEmpty()) attempts.append(" | ")
+        attempts.append(target).append(" load=").append(load)
+    }
+
+    public fun result(text: String) {
+        attempts.append(" -> ").append(text)
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RetryBudgets.kt
@@ -0,0 +1,33 @@
+package org.bramleytrestle.serving
+
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.TimeSource
+import org.bramleytrestle.routing.RetryBudget
+
+/**
+ * This node's part of the repeats that all nodes together may send to a service. Nodes do not
+ * exchange what they used, so the fixed allowance is divided among them.
+ *
+ * @param ratio repeats allowed for each first attempt.
+ * @param slack repeats that all nodes together have in any case in a window.
+ */
+public class RetryBudgets(
+    private val ratio: Double,
+    private val slack: Int,
+    private val nodes: () -> Int,
+    private val clock: TimeSource.WithComparableMarks = TimeSource.Monotonic
+) {
+    private val budgets = ConcurrentHashMap<String, RetryBudget>()
+
+    public fun countFirst(service: String): Unit = of(service).countFirst()
+
+    public fun tryRetry(service: String): Boolean =
+        of(service).tryRetry(ratio * SAFETY, floor = (slack * SAFETY / maxOf(1, nodes())).toInt())
+
+    private fun of(service: String) = budgets.computeIfAbsent(service) { RetryBudget(clock) }
+
+    private companion object {
+        /** Keeps room for nodes that are known to few and for windows that slide. */
+        const val SAFETY = 0.75
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RoutingConfig.kt
@@ -0,0 +1,31 @@
+package org.bramleytrestle.serving
+
+/**
+ * One version of the operators' configuration, indexed for the path of a request.
+ *
+ * @property revision position in the store's order of changes; rises with every version.
+ */
+public class RoutingConfig(
+    public val version: Long,
+    public val revision: Long,
+    routes: List<Route>,
+    services: List<BackendService>,
+    organisations: List<Organisation>,
+    public val limits: CallerLimits = CallerLimits()
+) {
+    public val services: Map<String, BackendService> = services.associateBy { it.name }
+
+    /** Whether callers need a key on routes without public access. */
+    public val keysRequired: Boolean = organisations.isNotEmpty()
+
+    private val routesByHost = routes.groupBy { it.host.lowercase() }
+        .mapValues { (_, found) -> found.sortedByDescending { it.pathPrefix.length } }
+    private val organisationsByKey =
+        organisations.flatMap { owner -> owner.keys.map { it to owner } }.toMap()
+
+    /** The route with the longest prefix of [path] on [host]. */
+    public fun route(host: String, path: String): Route? =
+        routesByHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
+
+    public fun organisationOf(key: String): Organisation? = organisationsByKey[key]
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
@@ -0,0 +1,111 @@
+package org.bramleytrestle.serving
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicReference
+
+/**
+ * Chooses the server or chain for a request from the fleet, the loads that servers report and the
+ * own requests in flight.
+ *
+ * Load pattern: nodes see the same late reports, so the own requests since a report count at once,
+ * and the own data centre is left only when its chain is nearly full.
+ */
+public class ServerSelector(
+    private val dataCentre: String,
+    private val loads: ServerLoads = ServerLoads(),
+    private val now: () -> Moment = Moment::now
+) {
+    private class View(val fleet: Fleet, val config: RoutingConfig?) {
+        val chains = ConcurrentHashMap<Pair<String, Set<String>>, List<Chain>>()
+    }
+
+    private val view = AtomicReference(View(Fleet.EMPTY, null))
+    private val brokenChains = ConcurrentHashMap<String, Long>()
+
+    public val fleet: Fleet get() = view.get().fleet
+
+    public fun update(fleet: Fleet, config: RoutingConfig?) {
+        view.set(View(fleet, config))
+        loads.retain(fleet)
+        val nanos = now().steadyNanos
+        brokenChains.values.removeIf { nanos - it >= 0 }
+    }
+
+    public fun load(server: BackendServer): ServerLoad = loads.of(server)
+
+    /** The least loaded server of [service] outside [tried]; avoided ones only if none is left. */
+    public fun server(service: String, tried: Set<String>): BackendServer? {
+        val open = view.get().fleet.ready[service].orEmpty().filter { it.id !in tried }
+        val sound = open.filterNot { load(it).avoided }.ifEmpty { open }
+        return sound.minByOrNull { server ->
+            val busy = (load(server).estimate + 1.0) / maxOf(1, server.slots)
+            busy + if (server.dataCentre == dataCentre) 0.0 else REMOTE_SERVER_COST
+        }
+    }
+
+    /** The chain with the most room, or null if no chain covers the model outside [tried]. */
+    public fun chain(service: BackendService, tried: Set<String>): ChainChoice? {
+        val current = view.get()
+        val model = service.model ?: return null
+        val servers = current.fleet.ready[service.name].orEmpty()
+        val avoided = servers.filter { load(it).avoided }.map { it.id }.toSet()
+        val chains = chains(current, service.name, model, servers, avoided)
+            .ifEmpty { chains(current, service.name, model, servers, emptySet()) }
+        val nanos = now().steadyNanos
+        val sound = chains.filter { chain ->
+            val until = brokenChains[chain.label]
+            chain.label !in tried && (until == null || nanos - until >= 0)
+        }
+        val candidates = sound.ifEmpty { chains.filter { it.label !in tried } }.ifEmpty { chains }
+        val fastest = candidates.minOfOrNull { it.stepMillis } ?: return null
+        return candidates.map { chain ->
+            val used = load(chain.first).estimate / maxOf(1.0, chain.capacity.toDouble())
+            val remote = if (chain.first.dataCentre == dataCentre) 0.0 else REMOTE_CHAIN_COST
+            val slow = (chain.stepMillis / fastest - 1) * SLOWNESS_COST
+            ChainChoice(chain, used) to used + remote + slow
+        }.minByOrNull { it.second }?.first
+    }
+
+    /** Avoids [chain], of which it isn't known which server failed. */
+    public fun chainFailed(chain: Chain) {
+        brokenChains[chain.label] = now().steadyNanos + CHAIN_AVOIDANCE_NANOS
+    }
+
+    /** Avoids the server at [address], which another server of [chain] named as faulty. */
+    public fun stageFailed(chain: Chain, address: String) {
+        val stage = chain.stages.firstOrNull { it.server.address == address }
+        if (stage == null) chainFailed(chain) else load(stage.server).failed()
+    }
+
+    private fun chains(
+        current: View,
+        service: String,
+        model: ModelProfile,
+        servers: List<BackendServer>,
+        avoided: Set<String>
+    ): List<Chain> = current.chains.computeIfAbsent(service to avoided) {
+        val found = ChainFinder(model).find(servers.filter { it.id !in avoided })
+        log.info {
+            "routing: service=$service servers=${servers.size} avoided=${avoided.size} " +
+                "chains=" + found.joinToString(";") { "${it.label}/${it.capacity}" }
+        }
+        found
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+
+        /** Load, in parts of a server's slots, that outweighs the bytes between data centres. */
+        const val REMOTE_SERVER_COST = 0.4
+
+        /** The same for chains, in parts of their capacity. */
+        const val REMOTE_CHAIN_COST = 0.35
+
+        /** Weight of a chain's time per token against that of the fastest. */
+        const val SLOWNESS_COST = 0.1
+
+        /** Time in which a server that fell silent is found by other means. */
+        const val CHAIN_AVOIDANCE_NANOS = 2_000_000_000L
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -0,0 +1,245 @@
+package org.bramleytrestle.serving
+
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
+import org.bramleytrestle.model.ErrorKind
+
+/**
+ * Serves streams over chains of model servers. A stream that breaks off or falls silent goes on at
+ * another chain after its last whole event, if its route lets it, inside the same answer.
+ */
+public class StreamExecutor(
+    private val selector: ServerSelector,
+    private val client: ServerClient,
+    private val budgets: RetryBudgets,
+    private val watchdog: Watchdog,
+    private val now: () -> Moment = Moment::now
+) {
+    private class Progress(var lastEvent: Long?) {
+        val tried = mutableSetOf<String>()
+        var reached = 0
+        var unreached = 0
+        var mayHaveRun = false
+        var begun = false
+        var failedAnswer: ServerReply.Whole? = null
+        var lastReason = "no chain covers the model"
+    }
+
+    public fun run(task: RequestTask): RequestOutcome {
+        val active = watchdog.watch(task.deadlineNanos, task.request.departed)
+        val progress = Progress(task.request.lastEvent)
+        try {
+            budgets.countFirst(task.service.name)
+            while (mayTry(task, progress)) {
+                val choice = selector.chain(task.service, progress.tried) ?: break
+                if (choice.used > FULL && !progress.begun) {
+                    progress.lastReason = "all chains are full"
+                    break
+                }
+                if (progress.reached > 0 && !budgets.tryRetry(task.service.name)) break
+                attempt(task, choice, progress, active)?.let { return it }
+                val cause = active.cause
+                if (cause == CancelCause.DEADLINE || cause == CancelCause.DEPARTED) break
+            }
+            return finish(task, progress, active)
+        } catch (e: IOException) {
+            if (progress.begun && e !is CallerReply.CallerGone) task.reply.abort()
+            throw e
+        } finally {
+            watchdog.done(active)
+        }
+    }
+
+    private fun mayTry(task: RequestTask, progress: Progress) =
+        progress.reached < task.route.maxServers &&
+            progress.unreached <= UNREACHED_EXTRA &&
+            left(task) > LEAST_TIME
+
+    private fun attempt(
+        task: RequestTask,
+        choice: ChainChoice,
+        progress: Progress,
+        active: ActiveRequest
+    ): RequestOutcome? {
+        val chain = choice.chain
+        progress.tried += chain.label
+        val load = selector.load(chain.first)
+        task.trace.attempt(chain.label, "${load.estimate}/${chain.capacity}")
+        val call = ServerCall(
+            task.request,
+            chain.first,
+            stream = true,
+            remaining = left(task),
+            chain = chain,
+            organisation = task.owner?.name,
+            lastEvent = progress.lastEvent,
+            load = load
+        )
+        val exchange = client.open(call)
+        load.started()
+        try {
+            val patience = FIRST_EVENT_PATIENCE.takeIf { task.route.repeatable }
+            active.arm(exchange, now().steadyNanos, patience)
+            return settle(task, exchange.await(), chain, progress, active)
+        } finally {
+            active.disarm()
+            load.ended()
+            exchange.close()
+        }
+    }
+
+    private fun settle(
+        task: RequestTask,
+        answer: ServerReply,
+        chain: Chain,
+        progress: Progress,
+        active: ActiveRequest
+    ): RequestOutcome? {
+        when (answer) {
+            is ServerReply.Whole -> {
+                progress.reached++
+                progress.mayHaveRun = true
+                task.trace.result("status ${answer.status}")
+                if (progress.begun || answer.failed && task.route.repeatable) {
+                    if (!progress.begun) progress.failedAnswer = answer
+                    progress.lastReason = "server answered ${answer.status}"
+                    return null
+                }
+                task.reply.answer(answer)
+                return RequestOutcome.answered("status ${answer.status}")
+            }
+            is ServerReply.NotRun -> notRun(task, answer, chain, progress)
+            is ServerReply.Broken -> {
+                progress.reached++
+                progress.mayHaveRun = true
+                if (!brokenOff(task, chain, progress, active, answer.reason)) {
+                    return finish(task, progress, active)
+                }
+            }
+            is ServerReply.Events -> {
+                progress.reached++
+                progress.mayHaveRun = true
+                progress.failedAnswer = null
+                return relay(task, answer, chain, progress, active)
+            }
+        }
+        return null
+    }
+
+    private fun notRun(
+        task: RequestTask,
+        answer: ServerReply.NotRun,
+        chain: Chain,
+        progress: Progress
+    ) {
+        task.trace.result("not run: ${answer.reason} at=${answer.faultyAddress}")
+        progress.lastReason = answer.reason
+        if (answer.reached) progress.reached++ else progress.unreached++
+        val faulty = answer.faultyAddress
+        when {
+            faulty != null -> selector.stageFailed(chain, faulty)
+            !answer.reached || answer.misdirected -> selector.load(chain.first).failed()
+            else -> selector.chainFailed(chain)
+        }
+    }
+
+    private fun relay(
+        task: RequestTask,
+        events: ServerReply.Events,
+        chain: Chain,
+        progress: Progress,
+        active: ActiveRequest
+    ): RequestOutcome? {
+        val patience = EVENT_PATIENCE.takeIf { task.route.resumable }
+        var count = 0
+        try {
+            if (!progress.begun) {
+                task.reply.beginStream(events)
+                progress.begun = true
+            }
+            while (true) {
+                val event = events.next() ?: break
+                active.progress(now().steadyNanos, patience)
+                if (!follows(event, progress)) continue
+                task.reply.event(event)
+                progress.lastEvent = event.number ?: progress.lastEvent
+                count++
+            }
+        } catch (e: CallerReply.CallerGone) {
+            task.trace.result("caller left after $count events")
+            throw e
+        } catch (e: IOException) {
+            val goesOn = brokenOff(task, chain, progress, active, "$e after $count events")
+            return if (goesOn) null else finish(task, progress, active)
+        }
+        selector.load(chain.first).succeeded()
+        task.trace.result("complete, $count events")
+        task.reply.endStream()
+        return RequestOutcome.answered("stream")
+    }
+
+    /** False for an event that was passed on before; throws if events between were lost. */
+    private fun follows(event: StreamEvent, progress: Progress): Boolean {
+        val number = event.number ?: return true
+        val last = progress.lastEvent ?: return true
+        if (number <= last) return false
+        if (number > last + 1) throw IOException("event $number follows $last")
+        return true
+    }
+
+    /** Whether the stream may go on elsewhere. */
+    private fun brokenOff(
+        task: RequestTask,
+        chain: Chain,
+        progress: Progress,
+        active: ActiveRequest,
+        reason: String
+    ): Boolean {
+        val cause = active.cause
+        task.trace.result("$reason ${cause ?: ""}")
+        progress.lastReason = reason
+        if (cause == null || cause == CancelCause.STALLED) selector.chainFailed(chain)
+        return task.route.resumable && (cause == null || cause == CancelCause.STALLED)
+    }
+
+    private fun finish(
+        task: RequestTask,
+        progress: Progress,
+        active: ActiveRequest
+    ): RequestOutcome {
+        val late = active.cause == CancelCause.DEADLINE || left(task) <= LEAST_TIME
+        val answer = progress.failedAnswer
+        val kind = when {
+            !progress.mayHaveRun -> ErrorKind.OVERLOADED
+            late -> ErrorKind.DEADLINE_EXCEEDED
+            else -> ErrorKind.BACKEND_FAILED
+        }
+        if (progress.begun) {
+            task.reply.abort()
+            return RequestOutcome.failed(kind, "broken off: ${progress.lastReason}")
+        }
+        if (answer != null) {
+            task.reply.answer(answer)
+            return RequestOutcome.failed(null, "passed on status ${answer.status}")
+        }
+        return refuseTask(task.request, task.reply, kind, progress.lastReason, now())
+    }
+
+    private fun left(task: RequestTask): Duration =
+        (task.deadlineNanos - now().steadyNanos).nanoseconds
+
+    private companion object {
+        /** Part of a chain's capacity above which new streams are refused. */
+        const val FULL = 1.0
+        const val UNREACHED_EXTRA = 2
+        val LEAST_TIME = 100.milliseconds
+
+        /** Callers give a stream up after 2 s without an event; half of it is left for a repair. */
+        val FIRST_EVENT_PATIENCE = 1_000.milliseconds
+
+        /** Ten times the usual pause between events, and time left for a repair. */
+        val EVENT_PATIENCE = 600.milliseconds
+    }
+}
--- a/platform/src/main/kotlin/org/bramleytrestle/platform/CallKey.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/CallKey.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 import java.security.MessageDigest
 import org.bramleytrestle.model.OrganisationId
--- a/platform/src/main/kotlin/org/bramleytrestle/platform/CallPriority.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/CallPriority.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 /** Order in which waiting calls get the tokens of a node's budget; the first goes first. */
 public enum class CallPriority {
--- a/platform/src/main/kotlin/org/bramleytrestle/platform/CallRecords.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/CallRecords.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapBoth
@@ -12,7 +12,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
-import org.bramleytrestle.platform.CallRecord.State
+import org.bramleytrestle.store.CallRecord.State
 
 /**
  * Records of calls that may not be repeated. A record is created before the call is sent, so that
--- a/platform/src/main/kotlin/org/bramleytrestle/platform/InstanceList.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/InstanceList.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.onSuccess
--- a/platform/src/main/kotlin/org/bramleytrestle/platform/LoadLimiter.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/LoadLimiter.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 import kotlin.time.Duration
 import kotlin.time.TimeSource
--- a/platform/src/main/kotlin/org/bramleytrestle/platform/ModelOrderOutcome.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/ModelOrderOutcome.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 /** How an engine answered an order. */
 public enum class ModelOrderOutcome {
--- a/platform/src/main/kotlin/org/bramleytrestle/platform/ModelReconciler.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/ModelReconciler.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 /** Compares the desired with the actual state of one model and chooses the next order. */
 internal object ModelReconciler {
--- a/platform/src/main/kotlin/org/bramleytrestle/platform/Placement.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/Placement.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 import kotlinx.serialization.Serializable
 import org.bramleytrestle.model.LayerRange
--- a/platform/src/main/kotlin/org/bramleytrestle/platform/PlatformCallBudget.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/PlatformCallBudget.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 import java.util.PriorityQueue
 import kotlin.random.Random
--- a/platform/src/main/kotlin/org/bramleytrestle/platform/PlatformCallCounts.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/PlatformCallCounts.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 /**
  * Calls of one node since its start, by operation and kind such as `get changes`.
--- a/platform/src/main/kotlin/org/bramleytrestle/platform/RecordedCall.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/RecordedCall.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 /** The right of one attempt to run one call. */
 public class RecordedCall internal constructor(
--- a/platform/src/main/kotlin/org/bramleytrestle/platform/StoreError.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/StoreError.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 /** Why a call to the object API gave no result. */
 public enum class StoreError {
--- /dev/null
+++ b/store/src/main/kotlin/org/bramleytrestle/store/StoreResponse.kt
@@ -0,0 +1,46 @@
+package org.bramleytrestle.store
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import io.github.oshai.kotlinlogging.KotlinLogging
+import okhttp3.Request
+import okhttp3.Response
+import okio.BufferedSource
+
+/** A store's answer before it is decoded. */
+public class StoreResponse internal constructor(
+    private val request: Request,
+    private val response: Response
+) {
+    public val status: Int get() = response.code
+    public val successful: Boolean get() = response.isSuccessful
+    public val source: BufferedSource get() = response.body.source()
+    internal var exhausted = false
+        private set
+
+    public fun text(): String = response.body.string().also { exhausted = true }
+
+    /** The error that the status stands for, for statuses that all stores share. */
+    public fun <T> error(onConflict: StoreError): Result<T, StoreError> {
+        val error = when (status) {
+            NOT_FOUND -> StoreError.NOT_FOUND
+            CONFLICT -> onConflict
+            GONE -> StoreError.EXPIRED
+            in SERVER_ERRORS -> StoreHttp.lostOr(request, status == SERVICE_UNAVAILABLE)
+            else -> StoreError.UNAVAILABLE
+        }
+        if (error == StoreError.UNAVAILABLE || error == StoreError.OUTCOME_UNKNOWN) {
+            log.debug { "store: ${request.method} ${request.url}: status $status" }
+        }
+        return Err(error)
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        val SERVER_ERRORS = 500..599
+        const val SERVICE_UNAVAILABLE = 503
+        const val NOT_FOUND = 404
+        const val CONFLICT = 409
+        const val GONE = 410
+    }
+}
--- a/platform/src/main/kotlin/org/bramleytrestle/platform/WireTypes.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/WireTypes.kt
@@ -1,6 +1,6 @@
 @file:Suppress("MatchingDeclarationName")
 
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
--- a/platform/src/test/kotlin/org/bramleytrestle/platform/HttpObjectStoreTest.kt
+++ b/store/src/test/kotlin/org/bramleytrestle/store/HttpObjectStoreTest.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrThrow
--- a/platform/src/test/kotlin/org/bramleytrestle/platform/ModelControllerTest.kt
+++ b/store/src/test/kotlin/org/bramleytrestle/store/ModelControllerTest.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.platform
+package org.bramleytrestle.store
 
 import io.kotest.property.Arb
 import io.kotest.property.PropTestConfig
