--- a/serving/src/main/kotlin/org/bramleytrestle/serving/FleetHolder.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/FleetHolder.kt
@@ -22,6 +22,9 @@
     /** Number of servers known. */
     public val size: Int @Synchronized get() = entries.size
 
+    @Synchronized
+    public fun find(name: String): BackendServer? = entries[name]?.server
+
     /** Takes the whole list; null stands for an entry that cannot be read. */
     @Synchronized
     public fun replace(listed: Map<String, Pair<BackendServer?, Long>>) {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/KindFollower.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/KindFollower.kt
@@ -18,6 +18,7 @@
  * @param onList the whole kind, after a start or after a gap in the watch.
  * @param onConfirmed called with the moment up to which the copy is known to be complete.
  * @param onReturn called before the first list or change after the store was away.
+ * @param pause time after changes in which more of them gather, as each answer is paid for.
  */
 public class KindFollower(
     private val store: ChangeSource,
@@ -26,6 +27,7 @@
     private val onChange: (WatchEvent) -> Unit,
     private val onConfirmed: (Moment) -> Unit = {},
     private val onReturn: () -> Unit = {},
+    private val pause: Duration = Duration.ZERO,
     private val now: () -> Moment = Moment::now
 ) {
     private var failingSince: Moment? = null
@@ -67,6 +69,7 @@
             // A watch without events was answered after the whole wait, so it speaks of that time.
             val quiet = batch.events.isEmpty() && now().since(sentAt) >= WAIT
             onConfirmed(if (quiet) sentAt + WAIT else sentAt)
+            if (batch.events.isNotEmpty()) delay(pause)
         }
     }
 
@@ -90,7 +93,7 @@
         val log = KotlinLogging.logger {}
 
         /** Short enough that a connection that fell silent is noticed before a key outlives it. */
-        val WAIT = 2.seconds
+        val WAIT = 3.seconds
 
         /** Time between two calls to a store that fails. */
         val RETRY = 150.milliseconds
--- /dev/null
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/ConfigHolderTest.kt
@@ -0,0 +1,37 @@
+package org.bramleytrestle.serving
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class ConfigHolderTest {
+    private val clock = FakeClock()
+    private val holder = ConfigHolder(clock::now)
+
+    private fun config(revision: Long) =
+        RoutingConfig(revision * 2, revision, emptyList(), emptyList(), emptyList())
+
+    @Test
+    fun `an older revision never replaces a newer one`() {
+        assertTrue(holder.offer(config(5), clock.now()))
+        for (older in listOf(4L, 5L)) assertFalse(holder.offer(config(older), clock.now()))
+        assertEquals(5, holder.config?.revision)
+    }
+
+    @Test
+    fun `a suspension that only the time of day counts makes the confirmation old`() {
+        holder.offer(config(1), clock.now())
+        clock.moment = clock.moment.copy(wallMillis = clock.moment.wallMillis + 7_000)
+        assertEquals(7.seconds, holder.confirmationAge())
+    }
+
+    @Test
+    fun `a time of day that jumps back does not make an old confirmation young`() {
+        holder.offer(config(1), clock.now())
+        clock.advance(6.seconds)
+        clock.moment = clock.moment.copy(wallMillis = clock.moment.wallMillis - 60_000)
+        assertEquals(6.seconds, holder.confirmationAge())
+    }
+}
--- /dev/null
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
@@ -0,0 +1,143 @@
+package org.bramleytrestle.serving
+
+import java.util.ArrayDeque
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.bramleytrestle.model.ErrorKind
+import org.bramleytrestle.model.LayerRange
+
+/** A clock that only tests advance. */
+internal class FakeClock {
+    var moment = Moment(1_000_000_000L, 1_000_000L)
+
+    fun now(): Moment = moment
+
+    fun advance(span: Duration) {
+        moment += span
+    }
+}
+
+/** The model and cards of the users' first deployment. */
+internal val model = ModelProfile(
+    layers = 80,
+    layerMegabytes = 1_750.0,
+    cacheBytesPerToken = 845_373.0,
+    stepMillis = 0.85,
+    activationBytes = 42_268.0,
+    linkMegabitsBetweenCentres = 9_000.0,
+    cards = mapOf(
+        "large" to Accelerator(72_000.0, 1.4, 1.0),
+        "middle" to Accelerator(36_000.0, 3.1, 3.2),
+        "small" to Accelerator(21_600.0, 16.0, 8.2),
+        "tiny" to Accelerator(14_400.0, 15.0, 15.0)
+    ),
+    usualTokens = 944,
+    loadTime = 14.seconds
+)
+
+internal fun modelServer(id: String, centre: String, card: String, held: LayerRange? = null) =
+    BackendServer(
+        id,
+        "model",
+        "10.0.0.1:${id.hashCode().mod(60_000)}",
+        centre,
+        134,
+        card = card,
+        held = held
+    )
+
+internal fun plainServer(id: String, centre: String = "a") =
+    BackendServer(id, "desk", "$id:80", centre, slots = 6)
+
+/** Servers of one data centre: two middle, four small and seven tiny cards. */
+internal fun centre(name: String): List<BackendServer> =
+    (1..2).map { modelServer("$name-middle-$it", name, "middle") } +
+        (1..4).map { modelServer("$name-small-$it", name, "small") } +
+        (1..7).map { modelServer("$name-tiny-$it", name, "tiny") }
+
+internal fun placed(server: BackendServer): PlacedServer {
+    val card = model.cards.getValue(server.card!!)
+    return PlacedServer(server.id, server.dataCentre, card.megabytes, card.pace, server.held)
+}
+
+internal fun request(id: String = "r1", lastEvent: Long? = null, at: Moment) = CallerRequest(
+    id = id,
+    method = "POST",
+    host = "host",
+    target = "/p/1",
+    headers = emptyList(),
+    body = ByteArray(0),
+    receivedAt = at,
+    patience = 20.seconds,
+    lastEvent = lastEvent
+)
+
+internal fun route(kind: RequestKind, servers: Int = 2, resumable: Boolean = false) = Route(
+    name = "route",
+    host = "host",
+    pathPrefix = "/p/",
+    kind = kind,
+    timeout = 20.seconds,
+    targetLatency = 100.milliseconds,
+    shares = listOf(ServiceShare("desk", 1)),
+    maxServers = servers,
+    resumable = resumable
+)
+
+/** Records what a caller gets. */
+internal class RecordedReply : CallerReply {
+    val got = mutableListOf<String>()
+
+    override fun refuse(kind: ErrorKind, detail: String, retryAfter: Duration?) {
+        got += "refused ${kind.name}" + if (retryAfter == null) "" else " return"
+    }
+
+    override fun answer(answer: ServerReply.Whole) {
+        got += "answer ${answer.status}"
+    }
+
+    override fun beginStream(head: ServerReply.Events) {
+        got += "begin"
+    }
+
+    override fun event(event: StreamEvent) {
+        got += "event ${event.number}"
+    }
+
+    override fun endStream() {
+        got += "end"
+    }
+
+    override fun abort() {
+        got += "abort"
+    }
+}
+
+/** Answers calls in order; records where each went and after which event it resumes. */
+internal class ScriptedClient(vararg replies: ServerReply) : ServerClient {
+    private val script = ArrayDeque(replies.toList())
+    val calls = mutableListOf<ServerCall>()
+
+    override fun open(call: ServerCall): ServerExchange {
+        calls += call
+        val reply = script.poll() ?: error("call ${calls.size} is not in the script")
+        return object : ServerExchange {
+            override fun await() = reply
+
+            override fun cancel() = Unit
+
+            override fun close() = Unit
+        }
+    }
+}
+
+/** A stream of the events [numbers], which then ends or throws. */
+internal fun events(numbers: LongRange, breaks: Boolean = false): ServerReply.Events {
+    val left = ArrayDeque(numbers.toList())
+    return ServerReply.Events(200, emptyList()) {
+        val number = left.poll()
+        if (number == null && breaks) throw java.io.IOException("connection reset")
+        number?.let { StreamEvent(it, ByteArray(0)) }
+    }
+}
--- /dev/null
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/KindFollowerTest.kt
@@ -0,0 +1,137 @@
+package org.bramleytrestle.serving
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import org.bramleytrestle.store.ChangeBatch
+import org.bramleytrestle.store.ChangeSource
+import org.bramleytrestle.store.StoreError
+import org.bramleytrestle.store.StoredObject
+import org.bramleytrestle.store.StoredObjectList
+import org.bramleytrestle.store.WatchEvent
+
+class KindFollowerTest {
+    private fun item(version: Long) = StoredObject("k", "n$version", version, JsonNull)
+
+    private fun batch(version: Long, vararg items: Long): Result<ChangeBatch, StoreError> =
+        Ok(ChangeBatch(version, items.map { WatchEvent(item(it)) }))
+
+    /** A store whose lists and watches answer from scripts and then never again. */
+    private class ScriptedStore(
+        lists: List<Result<StoredObjectList, StoreError>>,
+        watches: List<Result<ChangeBatch, StoreError>>,
+        private val clock: FakeClock
+    ) : ChangeSource {
+        private val lists = ArrayDeque(lists)
+        private val watches = ArrayDeque(watches)
+        val positions = mutableListOf<Long>()
+
+        override suspend fun list(kind: String, fromName: String?, limit: Int?) =
+            lists.removeFirstOrNull() ?: awaitCancellation()
+
+        override suspend fun changes(
+            kind: String,
+            afterVersion: Long,
+            wait: Duration
+        ): Result<ChangeBatch, StoreError> {
+            positions += afterVersion
+            val answer = watches.removeFirstOrNull() ?: awaitCancellation()
+            if (answer.getOrElse { null }?.events?.isEmpty() == true) {
+                delay(wait)
+                clock.advance(wait)
+            }
+            return answer
+        }
+
+        override suspend fun get(kind: String, name: String) = error("not used")
+
+        override suspend fun create(kind: String, name: String, value: JsonElement) =
+            error("not used")
+
+        override suspend fun update(
+            kind: String,
+            name: String,
+            value: JsonElement,
+            ifVersion: Long
+        ) = error("not used")
+
+        override suspend fun delete(kind: String, name: String, ifVersion: Long) = error("not used")
+
+        override suspend fun watch(kind: String, afterVersion: Long, timeout: Duration) =
+            error("not used")
+    }
+
+    private val clock = FakeClock()
+    private val seen = mutableListOf<String>()
+    private val confirmed = mutableListOf<Moment>()
+
+    private fun follow(
+        lists: List<Result<StoredObjectList, StoreError>>,
+        watches: List<Result<ChangeBatch, StoreError>>
+    ): ScriptedStore {
+        val store = ScriptedStore(lists, watches, clock)
+        runTest {
+            val follower = KindFollower(
+                store,
+                "k",
+                onList = { items -> seen += "list ${items.size}" },
+                onChange = { seen += "change ${it.item.version}" },
+                onConfirmed = { confirmed += it },
+                now = clock::now
+            )
+            val job = launch { follower.run() }
+            delay(60.seconds)
+            job.cancel()
+        }
+        return store
+    }
+
+    private val list = Ok(StoredObjectList(10, listOf(item(4))))
+
+    @Test
+    fun `a quiet watch continues from the store's revision, so that its position never expires`() {
+        val store = follow(listOf(list), listOf(batch(15), batch(30), batch(31, 31)))
+        assertEquals(listOf(10L, 15L, 30L, 31L), store.positions)
+        assertEquals(listOf("list 1", "change 31"), seen)
+    }
+
+    @Test
+    fun `a forgotten history leads to a new list, so that no change is missed`() {
+        follow(listOf(list, list), listOf(Err(StoreError.EXPIRED), batch(12, 12)))
+        assertEquals(listOf("list 1", "list 1", "change 12"), seen)
+    }
+
+    @Test
+    fun `a failed watch goes on from the same position`() {
+        val store = follow(
+            listOf(Err(StoreError.UNAVAILABLE), list),
+            listOf(Err(StoreError.UNAVAILABLE), batch(11, 11))
+        )
+        assertEquals(listOf(10L, 10L, 11L), store.positions)
+    }
+
+    @Test
+    fun `a watch with events confirms only the moment at which it was sent`() {
+        val sent = clock.now()
+        follow(listOf(list), listOf(batch(11, 11)))
+        assertEquals(listOf(sent, sent), confirmed)
+    }
+
+    @Test
+    fun `a quiet watch confirms the end of its wait`() {
+        val sent = clock.now()
+        follow(listOf(list), listOf(batch(10)))
+        assertEquals(listOf(sent, sent + 3.seconds), confirmed)
+    }
+}
--- /dev/null
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PlacementControllerTest.kt
@@ -0,0 +1,86 @@
+package org.bramleytrestle.serving
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import org.bramleytrestle.model.LayerRange
+
+class PlacementControllerTest {
+    private class Orders(var outcome: PlacementOutcome) : PlacementOrders {
+        val placed = mutableListOf<Triple<String, LayerRange, Long?>>()
+
+        override fun place(
+            server: BackendServer,
+            layers: LayerRange,
+            expectedOrders: Long?
+        ): PlacementOutcome {
+            placed += Triple(server.id, layers, expectedOrders)
+            return outcome
+        }
+
+        override fun ordersBegun(server: BackendServer): Long = 0
+    }
+
+    private val clock = FakeClock()
+    private val orders = Orders(PlacementOutcome.BEGUN)
+    private var holdsLease = true
+    private val controller = PlacementController(orders, { holdsLease }, clock::now)
+    private val config =
+        RoutingConfig(1, 1, emptyList(), listOf(BackendService("model", 10, model)), emptyList())
+
+    private fun step(servers: List<BackendServer>) = controller.step(Fleet(servers), config)
+
+    @Test
+    fun `servers that register one after the other are placed together`() {
+        step(centre("a").take(5))
+        clock.advance(1.seconds)
+        step(centre("a"))
+        assertEquals(0, orders.placed.size)
+        clock.advance(2.seconds)
+        step(centre("a"))
+        assertEquals(80, orders.placed.sumOf { it.second.size })
+    }
+
+    @Test
+    fun `nothing is ordered without the lease`() {
+        holdsLease = false
+        repeat(3) {
+            step(centre("a"))
+            clock.advance(2.seconds)
+        }
+        assertEquals(0, orders.placed.size)
+    }
+
+    @Test
+    fun `an order is not repeated while its load runs, and names the orders before it`() {
+        repeat(3) {
+            step(centre("a"))
+            clock.advance(2.seconds)
+        }
+        assertEquals(orders.placed.distinctBy { it.first }.size, orders.placed.size)
+        assertTrue(orders.placed.all { it.third == 0L })
+    }
+
+    @Test
+    fun `an order without an answer is given again`() {
+        orders.outcome = PlacementOutcome.UNKNOWN
+        repeat(4) {
+            step(centre("a"))
+            clock.advance(2.seconds)
+        }
+        val perServer = orders.placed.groupBy { it.first }.values.map { it.size }
+        assertTrue(perServer.all { it >= 2 }, "$perServer")
+    }
+
+    @Test
+    fun `a new holder does not move what servers hold already`() {
+        val plan = LayerPlanner(model).plan(centre("a").map(::placed))
+        val servers = centre("a").map { it.copy(held = plan[it.id]) }
+        repeat(3) {
+            step(servers)
+            clock.advance(2.seconds)
+        }
+        assertEquals(emptyList(), orders.placed)
+    }
+}
--- /dev/null
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PlainExecutorTest.kt
@@ -0,0 +1,66 @@
+package org.bramleytrestle.serving
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+
+class PlainExecutorTest {
+    private data class Case(
+        val name: String,
+        val kind: RequestKind,
+        val replies: List<ServerReply>,
+        val expected: String,
+        val servers: Int
+    )
+
+    private val ok = ServerReply.Whole(200, emptyList(), ByteArray(0))
+    private val failed = ServerReply.Whole(500, emptyList(), ByteArray(0))
+    private val full = ServerReply.NotRun("full", reached = true)
+    private val unreachable = ServerReply.NotRun("no connection", reached = false)
+    private val broken = ServerReply.Broken("reset")
+
+    private fun run(kind: RequestKind, client: ScriptedClient): List<String> {
+        val clock = FakeClock()
+        val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
+        selector.update(Fleet(listOf("x", "y", "z").map(::plainServer)), null)
+        val budgets = RetryBudgets(1.0, 10, { 1 })
+        val reply = RecordedReply()
+        val executor = PlainExecutor(selector, client, budgets, Watchdog(clock::now), clock::now)
+        executor.run(
+            RequestTask(
+                request(at = clock.now()),
+                reply,
+                route(kind),
+                BackendService("desk", 10),
+                null,
+                20.seconds,
+                RequestTrace("r1", 1, null)
+            )
+        )
+        return reply.got
+    }
+
+    @Test
+    fun `a request is sent again only where another run is impossible or harmless`() {
+        val once = RequestKind.AT_MOST_ONCE
+        val repeatable = RequestKind.REPEATABLE
+        val cases = listOf(
+            Case("answered", once, listOf(ok), "answer 200", 1),
+            Case("refused, then answered", once, listOf(full, ok), "answer 200", 2),
+            Case("may have run", once, listOf(broken), "refused OUTCOME_UNKNOWN", 1),
+            Case("own error counts as run", once, listOf(failed), "answer 500", 1),
+            Case("refused twice", once, listOf(full, full), "refused OVERLOADED return", 2),
+            Case("unreachable is not a try", once, listOf(unreachable, full, ok), "answer 200", 3),
+            Case("repeated after a break", repeatable, listOf(broken, ok), "answer 200", 2),
+            Case("repeated after an error", repeatable, listOf(failed, ok), "answer 200", 2),
+            Case("last error is passed on", repeatable, listOf(failed, broken), "answer 500", 2),
+            Case("no answer", repeatable, listOf(broken, broken), "refused BACKEND_FAILED", 2),
+            Case("ran somewhere", repeatable, listOf(broken, full), "refused BACKEND_FAILED", 2)
+        )
+        for ((name, kind, replies, expected, servers) in cases) {
+            val client = ScriptedClient(*replies.toTypedArray())
+            assertEquals(listOf(expected), run(kind, client), name)
+            assertEquals(servers, client.calls.map { it.server.id }.distinct().size, name)
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -0,0 +1,103 @@
+package org.bramleytrestle.serving
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+import org.bramleytrestle.model.LayerRange
+
+class StreamExecutorTest {
+    private data class Case(
+        val name: String,
+        val resumable: Boolean,
+        val replies: List<ServerReply>,
+        val expected: String,
+        val resumesAfter: List<Long?>
+    )
+
+    private val servers = listOf("a", "b").flatMap { centre ->
+        listOf(
+            modelServer("$centre-1", centre, "large", LayerRange(0, 40)),
+            modelServer("$centre-2", centre, "large", LayerRange(40, 80))
+        )
+    }
+
+    private fun run(resumable: Boolean, client: ScriptedClient): String {
+        val clock = FakeClock()
+        val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
+        val service = BackendService("model", 10, model.copy(layerMegabytes = 500.0))
+        selector.update(Fleet(servers), null)
+        val budgets = RetryBudgets(1.0, 10, { 1 })
+        val reply = RecordedReply()
+        val executor = StreamExecutor(selector, client, budgets, Watchdog(clock::now), clock::now)
+        executor.run(
+            RequestTask(
+                request(at = clock.now()),
+                reply,
+                route(RequestKind.STREAM, resumable = resumable),
+                service,
+                null,
+                20.seconds,
+                RequestTrace("r1", 1, null)
+            )
+        )
+        return reply.got.joinToString(",") { it.removePrefix("event ") }
+    }
+
+    @Test
+    fun `a broken stream goes on without a lost or doubled event or is broken off`() {
+        val full = ServerReply.NotRun("full", reached = true)
+        val broken = ServerReply.Broken("reset")
+        val cases = listOf(
+            Case("whole", true, listOf(events(1..3L)), "begin,1,2,3,end", listOf(null)),
+            Case(
+                "resumed",
+                true,
+                listOf(events(1..2L, breaks = true), events(3..4L)),
+                "begin,1,2,3,4,end",
+                listOf(null, 2)
+            ),
+            Case(
+                "overlap is dropped",
+                true,
+                listOf(events(1..2L, breaks = true), events(1..4L)),
+                "begin,1,2,3,4,end",
+                listOf(null, 2)
+            ),
+            Case(
+                "a gap breaks the answer off",
+                true,
+                listOf(events(1..2L, breaks = true), events(4..5L)),
+                "begin,1,2,abort",
+                listOf(null, 2)
+            ),
+            Case(
+                "not resumable",
+                false,
+                listOf(events(1..2L, breaks = true)),
+                "begin,1,2,abort",
+                listOf(null)
+            ),
+            Case("no events", false, listOf(broken), "refused BACKEND_FAILED", listOf(null)),
+            Case(
+                "refused first",
+                false,
+                listOf(full, events(1..1L)),
+                "begin,1,end",
+                listOf(null, null)
+            ),
+            Case(
+                "refused everywhere",
+                true,
+                listOf(full, full),
+                "refused OVERLOADED return",
+                listOf(null, null)
+            )
+        )
+        for ((name, resumable, replies, expected, resumesAfter) in cases) {
+            val client = ScriptedClient(*replies.toTypedArray())
+            assertEquals(expected, run(resumable, client), name)
+            assertEquals(resumesAfter, client.calls.map { it.lastEvent }, name)
+            for (call in client.calls) assertEquals(true, call.chain?.covers(80), name)
+        }
+    }
+}
