Keep settings confirmed between changes, notice departed callers, wait before replacing a group

The watch after one with events is now shorter. - Data centre b without a chain from 9 s to 13 s: the entry of its largest card lapsed after a crash of 4 s and all its servers were placed anew, one second before the card was back. A group is now placed anew only 4 s after a gap. - 104 late streams: silence was noticed after 600 to 1,000 ms; the limit now follows the mean and deviation of recent waits.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ConfigHolder.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ConfigHolder.kt
@@ -5,21 +5,22 @@
 
 /** The configuration in force, and how long ago the store confirmed it as the newest. */
 public class ConfigHolder(private val now: () -> Moment = Moment::now) {
-    private class State(val config: RoutingConfig, val confirmedAt: Moment)
+    private class State(val config: RoutingConfig, val confirmedAt: Moment?)
 
     private val state = AtomicReference<State?>(null)
 
     public val config: RoutingConfig? get() = state.get()?.config
 
-    /** Age of the last confirmation; null before the first configuration. */
-    public fun confirmationAge(): Duration? = state.get()?.let { now().since(it.confirmedAt) }
+    /** Age of the last confirmation; null before the first one. */
+    public fun confirmationAge(): Duration? = state.get()?.confirmedAt?.let { now().since(it) }
 
     /** Takes [config] unless it is older than the one in force. True if it is now in force. */
-    public fun offer(config: RoutingConfig, confirmedAt: Moment): Boolean {
+    public fun offer(config: RoutingConfig): Boolean {
         while (true) {
             val current = state.get()
             if (current != null && current.config.revision >= config.revision) return false
-            if (state.compareAndSet(current, State(config, confirmedAt))) return true
+            val next = State(config, current?.confirmedAt)
+            if (state.compareAndSet(current, next)) return true
         }
     }
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/KindFollower.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/KindFollower.kt
@@ -50,9 +50,10 @@
 
     private suspend fun follow(listed: Long) {
         var version = listed
+        var wait = WAIT
         while (true) {
             val sentAt = now()
-            val batch = store.changes(kind, version, WAIT).mapBoth(
+            val batch = store.changes(kind, version, wait).mapBoth(
                 { it },
                 { error ->
                     if (error == StoreError.EXPIRED) {
@@ -67,8 +68,11 @@
             batch.events.forEach(onChange)
             version = maxOf(version, batch.version)
             // A watch without events was answered after the whole wait, so it speaks of that time.
-            val quiet = batch.events.isEmpty() && now().since(sentAt) >= WAIT
-            onConfirmed(if (quiet) sentAt + WAIT else sentAt)
+            // One with events speaks of an unknown time after it was sent, so the next is shorter.
+            val taken = now().since(sentAt)
+            val quiet = batch.events.isEmpty() && taken >= wait
+            onConfirmed(if (quiet) sentAt + wait else sentAt)
+            wait = if (quiet) WAIT else (WAIT - taken).coerceAtLeast(SHORTEST_WAIT)
             if (batch.events.isNotEmpty()) delay(pause)
         }
     }
@@ -95,6 +99,9 @@
         /** Short enough that a connection that fell silent is noticed before a key outlives it. */
         val WAIT = 3.seconds
 
+        /** Wait of a watch that follows one with events after almost the whole wait. */
+        val SHORTEST_WAIT = 200.milliseconds
+
         /** Time between two calls to a store that fails. */
         val RETRY = 150.milliseconds
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/LayerPlanner.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/LayerPlanner.kt
@@ -15,11 +15,21 @@
 public class LayerPlanner(private val model: ModelProfile) {
     private val whole = model.layers
 
-    /** Layers for each server id; servers that are left out hold nothing new. */
-    public fun plan(servers: List<PlacedServer>): Map<String, LayerRange> {
-        val plan = mutableMapOf<String, LayerRange>()
-        for (group in groups(servers.sortedBy { it.id })) plan += planGroup(group)
-        return plan
+    /**
+     * Places the model on [servers].
+     *
+     * @param mayReplace whether a group that cannot be completed otherwise is placed anew, which
+     * ends all service of the group for the time of the loads.
+     */
+    public fun plan(servers: List<PlacedServer>, mayReplace: Boolean = true): LayerPlan {
+        val layers = mutableMapOf<String, LayerRange>()
+        var complete = true
+        for (group in groups(servers.sortedBy { it.id })) {
+            val planned = planGroup(group, mayReplace)
+            layers += planned
+            complete = complete && gaps(planned.values).isEmpty()
+        }
+        return LayerPlan(layers, complete)
     }
 
     private fun groups(servers: List<PlacedServer>): List<List<PlacedServer>> {
@@ -47,11 +57,12 @@
         return if (parts.all { layersWith(it, minimumTokens) >= whole }) parts else listOf(group)
     }
 
-    private fun planGroup(group: List<PlacedServer>): Map<String, LayerRange> {
+    private fun planGroup(group: List<PlacedServer>, mayReplace: Boolean): Map<String, LayerRange> {
         val held = group.mapNotNull { server -> server.held?.let { server.id to it } }.toMap()
         if (held.isEmpty()) return fresh(group)
         val filled = grow(group, fillFromIdle(group, held))
-        return if (gaps(filled.values).isEmpty()) filled else fresh(group)
+        val keep = gaps(filled.values).isEmpty() || !mayReplace
+        return if (keep) filled else fresh(group).ifEmpty { filled }
     }
 
     /** A plan for empty servers: fast cards first, each with the same room for requests. */
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlacementController.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlacementController.kt
@@ -28,6 +28,7 @@
     private val begun = HashMap<Run, Long>()
     private var seen = emptySet<Run>()
     private var seenSince: Moment? = null
+    private var incompleteSince: Moment? = null
 
     /** Gives the orders that the fleet needs. */
     public fun step(fleet: Fleet, config: RoutingConfig) {
@@ -53,9 +54,9 @@
     }
 
     private fun place(servers: List<BackendServer>, model: ModelProfile) {
-        val wanted = LayerPlanner(model).plan(servers.map { placed(it, model) })
+        val wanted = plan(servers.map { placed(it, model) }, model)
         for (server in servers) {
-            val layers = wanted[server.id] ?: continue
+            val layers = wanted.layers[server.id] ?: continue
             val run = Run(server.id, server.bornMillis)
             if (server.held == layers) {
                 sent -= run
@@ -70,6 +71,18 @@
         }
     }
 
+    /** Keeps what servers hold while one that is missing may still return. */
+    private fun plan(servers: List<PlacedServer>, model: ModelProfile): LayerPlan {
+        val planner = LayerPlanner(model)
+        val kept = planner.plan(servers, mayReplace = false)
+        if (kept.complete) {
+            incompleteSince = null
+            return kept
+        }
+        val since = incompleteSince ?: now().also { incompleteSince = it }
+        return if (now().since(since) < RETURN_TIME) kept else planner.plan(servers)
+    }
+
     /** The server with what it holds or was just ordered to hold. */
     private fun placed(server: BackendServer, model: ModelProfile): PlacedServer {
         val card = model.cards.getValue(server.card!!)
@@ -111,6 +124,9 @@
         val FIRST_SETTLE = 1_500.milliseconds
         val SETTLE = 200.milliseconds
 
+        /** Time in which a server that crashed starts again after its entry is gone. */
+        val RETURN_TIME = 4.seconds
+
         /** Loads that run at the same time share the weight store. */
         const val LOAD_MARGIN = 3
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RetryBudgets.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RetryBudgets.kt
@@ -10,11 +10,12 @@
  *
  * @param ratio repeats allowed for each first attempt.
  * @param slack repeats that all nodes together have in any case in a window.
+ * @param share part of the requests that this node is expected to get, from 0 to 1.
  */
 public class RetryBudgets(
     private val ratio: Double,
     private val slack: Int,
-    private val nodes: () -> Int,
+    private val share: () -> Double,
     private val clock: TimeSource.WithComparableMarks = TimeSource.Monotonic
 ) {
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
@@ -22,12 +23,12 @@
     public fun countFirst(service: String): Unit = of(service).countFirst()
 
     public fun tryRetry(service: String): Boolean =
-        of(service).tryRetry(ratio * SAFETY, floor = (slack * SAFETY / maxOf(1, nodes())).toInt())
+        of(service).tryRetry(ratio * SAFETY, floor = (slack * SAFETY * share()).toInt())
 
     private fun of(service: String) = budgets.computeIfAbsent(service) { RetryBudget(clock) }
 
     private companion object {
         /** Keeps room for nodes that are known to few and for windows that slide. */
-        const val SAFETY = 0.75
+        const val SAFETY = 0.9
     }
 }
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StallInspector.kt
@@ -0,0 +1,38 @@
+package org.bramleytrestle.serving
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executor
+
+/**
+ * Finds the server that made streams of a chain fall silent. Until it is found the whole chain is
+ * avoided; afterwards chains around that server can be used.
+ */
+public class StallInspector(
+    private val selector: ServerSelector,
+    private val diagnosis: ChainDiagnosis,
+    private val executor: Executor,
+    private val now: () -> Moment = Moment::now
+) {
+    private val asked = ConcurrentHashMap<String, Long>()
+
+    public fun stalled(chain: Chain) {
+        selector.chainFailed(chain)
+        val nanos = now().steadyNanos
+        val last = asked[chain.first.id]
+        if (last != null && nanos - last < ASK_INTERVAL_NANOS) return
+        asked[chain.first.id] = nanos
+        executor.execute {
+            val address = diagnosis.faultyAddress(chain.first)
+            log.info { "routing: chain=${chain.label} stalled at=$address" }
+            if (address != null) selector.stageFailed(chain, address)
+        }
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+
+        /** All streams of a chain stall together, and each question is paid for. */
+        const val ASK_INTERVAL_NANOS = 500_000_000L
+    }
+}
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -15,8 +15,12 @@
     private val client: ServerClient,
     private val budgets: RetryBudgets,
     private val watchdog: Watchdog,
+    private val stalls: StallInspector,
     private val now: () -> Moment = Moment::now
 ) {
+    private val firstWaits = WaitEstimate(SHORTEST_FIRST_WAIT, LONGEST_FIRST_WAIT)
+    private val eventWaits = WaitEstimate(SHORTEST_EVENT_WAIT, LONGEST_EVENT_WAIT)
+
     private class Progress(var lastEvent: Long?) {
         val tried = mutableSetOf<String>()
         var reached = 0
@@ -80,9 +84,17 @@
         val exchange = client.open(call)
         load.started()
         try {
-            val patience = FIRST_EVENT_PATIENCE.takeIf { task.route.repeatable }
-            active.arm(exchange, now().steadyNanos, patience)
-            return settle(task, exchange.await(), chain, progress, active)
+            val sentAt = now()
+            active.arm(
+                exchange,
+                sentAt.steadyNanos,
+                firstWaits.limit.takeIf {
+                    task.route.repeatable
+                }
+            )
+            val answer = exchange.await()
+            if (answer is ServerReply.Events) firstWaits.add(now().since(sentAt))
+            return settle(task, answer, chain, progress, active)
         } finally {
             active.disarm()
             load.ended()
@@ -152,7 +164,6 @@
         progress: Progress,
         active: ActiveRequest
     ): RequestOutcome? {
-        val patience = EVENT_PATIENCE.takeIf { task.route.resumable }
         var count = 0
         try {
             if (!progress.begun) {
@@ -160,8 +171,15 @@
                 progress.begun = true
             }
             while (true) {
+                // The time in which the caller takes an event is not the server's silence.
+                val askedAt = now()
+                active.progress(
+                    askedAt.steadyNanos,
+                    eventWaits.limit.takeIf { task.route.resumable }
+                )
                 val event = events.next() ?: break
-                active.progress(now().steadyNanos, patience)
+                eventWaits.add(now().since(askedAt))
+                active.progress(now().steadyNanos, null)
                 if (!follows(event, progress)) continue
                 task.reply.event(event)
                 progress.lastEvent = event.number ?: progress.lastEvent
@@ -200,7 +218,11 @@
         val cause = active.cause
         task.trace.result("$reason ${cause ?: ""}")
         progress.lastReason = reason
-        if (cause == null || cause == CancelCause.STALLED) selector.chainFailed(chain)
+        when (cause) {
+            null -> selector.chainFailed(chain)
+            CancelCause.STALLED -> stalls.stalled(chain)
+            CancelCause.DEADLINE, CancelCause.DEPARTED -> Unit
+        }
         return task.route.resumable && (cause == null || cause == CancelCause.STALLED)
     }
 
@@ -236,10 +258,14 @@
         const val UNREACHED_EXTRA = 2
         val LEAST_TIME = 100.milliseconds
 
+        /** Leaves time for another chain within the usual objective of 500 ms. */
+        val SHORTEST_FIRST_WAIT = 300.milliseconds
+
         /** Callers give a stream up after 2 s without an event; half of it is left for a repair. */
-        val FIRST_EVENT_PATIENCE = 1_000.milliseconds
+        val LONGEST_FIRST_WAIT = 1_000.milliseconds
 
-        /** Ten times the usual pause between events, and time left for a repair. */
-        val EVENT_PATIENCE = 600.milliseconds
+        /** Leaves time for another chain within the usual bound of 200 ms between events. */
+        val SHORTEST_EVENT_WAIT = 130.milliseconds
+        val LONGEST_EVENT_WAIT = 600.milliseconds
     }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/Watchdog.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Watchdog.kt
@@ -55,7 +55,7 @@
     private companion object {
         val log = KotlinLogging.logger {}
 
-        /** A tenth of the half second within which departures must reach servers. */
-        val TICK = 50.milliseconds
+        /** A tenth of the pause that callers of streams take as usual. */
+        val TICK = 20.milliseconds
     }
 }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/ChainFinderTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/ChainFinderTest.kt
@@ -10,7 +10,7 @@
 
     private fun loaded(vararg centres: String): List<BackendServer> {
         val servers = centres.flatMap(::centre)
-        val plan = LayerPlanner(model).plan(servers.map(::placed))
+        val plan = LayerPlanner(model).plan(servers.map(::placed)).layers
         return servers.map { it.copy(held = plan[it.id]) }
     }
 
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/ConfigHolderTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/ConfigHolderTest.kt
@@ -15,21 +15,33 @@
 
     @Test
     fun `an older revision never replaces a newer one`() {
-        assertTrue(holder.offer(config(5), clock.now()))
-        for (older in listOf(4L, 5L)) assertFalse(holder.offer(config(older), clock.now()))
+        assertTrue(holder.offer(config(5)))
+        for (older in listOf(4L, 5L)) assertFalse(holder.offer(config(older)))
         assertEquals(5, holder.config?.revision)
     }
 
+    @Test
+    fun `a new configuration does not make the last confirmation older or younger`() {
+        holder.offer(config(1))
+        assertEquals(null, holder.confirmationAge())
+        holder.confirm(clock.now())
+        clock.advance(2.seconds)
+        holder.offer(config(2))
+        assertEquals(2.seconds, holder.confirmationAge())
+    }
+
     @Test
     fun `a suspension that only the time of day counts makes the confirmation old`() {
-        holder.offer(config(1), clock.now())
+        holder.offer(config(1))
+        holder.confirm(clock.now())
         clock.moment = clock.moment.copy(wallMillis = clock.moment.wallMillis + 7_000)
         assertEquals(7.seconds, holder.confirmationAge())
     }
 
     @Test
     fun `a time of day that jumps back does not make an old confirmation young`() {
-        holder.offer(config(1), clock.now())
+        holder.offer(config(1))
+        holder.confirm(clock.now())
         clock.advance(6.seconds)
         clock.moment = clock.moment.copy(wallMillis = clock.moment.wallMillis - 60_000)
         assertEquals(6.seconds, holder.confirmationAge())
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/KindFollowerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/KindFollowerTest.kt
@@ -36,6 +36,7 @@
         private val lists = ArrayDeque(lists)
         private val watches = ArrayDeque(watches)
         val positions = mutableListOf<Long>()
+        val waits = mutableListOf<Duration>()
 
         override suspend fun list(kind: String, fromName: String?, limit: Int?) =
             lists.removeFirstOrNull() ?: awaitCancellation()
@@ -46,10 +47,13 @@
             wait: Duration
         ): Result<ChangeBatch, StoreError> {
             positions += afterVersion
+            waits += wait
             val answer = watches.removeFirstOrNull() ?: awaitCancellation()
             if (answer.getOrElse { null }?.events?.isEmpty() == true) {
                 delay(wait)
                 clock.advance(wait)
+            } else {
+                clock.advance(EVENT_TIME)
             }
             return answer
         }
@@ -72,6 +76,11 @@
             error("not used")
     }
 
+    private companion object {
+        /** Time after which a scripted watch returns with events. */
+        val EVENT_TIME = 2.seconds
+    }
+
     private val clock = FakeClock()
     private val seen = mutableListOf<String>()
     private val confirmed = mutableListOf<Moment>()
@@ -128,6 +137,12 @@
         assertEquals(listOf(sent, sent), confirmed)
     }
 
+    @Test
+    fun `late events shorten the next watch, so that the time between confirmations is bounded`() {
+        val store = follow(listOf(list), listOf(batch(11, 11), batch(12), batch(13)))
+        assertEquals(listOf(3.seconds, 1.seconds, 3.seconds, 3.seconds), store.waits)
+    }
+
     @Test
     fun `a quiet watch confirms the end of its wait`() {
         val sent = clock.now()
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/LayerPlannerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/LayerPlannerTest.kt
@@ -16,7 +16,7 @@
     @Test
     fun `each data centre with the memory holds the whole model, as links between them are slow`() {
         val servers = (centre("a") + centre("b")).map(::placed)
-        val plan = planner.plan(servers)
+        val plan = planner.plan(servers).layers
         for (name in listOf("a", "b")) {
             assertEquals(all, covered(plan, servers.filter { it.dataCentre == name }), name)
         }
@@ -25,7 +25,7 @@
     @Test
     fun `no server is ordered to hold more than its memory, which would crash it`() {
         val servers = (centre("a") + centre("b").drop(3) + centre("c").take(4)).map(::placed)
-        for ((id, layers) in planner.plan(servers)) {
+        for ((id, layers) in planner.plan(servers).layers) {
             val memory = servers.single { it.id == id }.megabytes
             assertTrue(layers.size * model.layerMegabytes < memory, "$id holds $layers")
         }
@@ -34,23 +34,23 @@
     @Test
     fun `data centres that cannot hold the model alone form one group`() {
         val servers = (centre("a").take(5) + centre("b").takeLast(8)).map(::placed)
-        assertEquals(all, covered(planner.plan(servers), servers))
+        assertEquals(all, covered(planner.plan(servers).layers, servers))
     }
 
     @Test
     fun `too little memory for the model gives no plan instead of a part of it`() {
-        assertEquals(emptyMap(), planner.plan(centre("a").take(3).map(::placed)))
+        assertEquals(emptyMap(), planner.plan(centre("a").take(3).map(::placed)).layers)
     }
 
     private fun loaded(servers: List<PlacedServer>): List<PlacedServer> {
-        val plan = planner.plan(servers)
+        val plan = planner.plan(servers).layers
         return servers.map { it.copy(held = plan[it.id]) }
     }
 
     @Test
     fun `a complete placement is left alone, as loads take seconds and are paid for`() {
         val servers = loaded(centre("a").map(::placed))
-        val plan = planner.plan(servers)
+        val plan = planner.plan(servers).layers
         for (server in servers) assertEquals(server.held, plan[server.id], server.id)
     }
 
@@ -59,7 +59,7 @@
         val servers = loaded(centre("a").map(::placed))
         for (lost in servers.filter { it.held != null }) {
             val rest = servers - lost
-            val plan = planner.plan(rest)
+            val plan = planner.plan(rest).layers
             assertEquals(all, covered(plan, rest), "after the loss of ${lost.id}")
             for (server in rest) {
                 val held = server.held ?: continue
@@ -76,7 +76,17 @@
     fun `a server that restarts empty takes the layers that are missing`() {
         val servers = loaded(centre("a").map(::placed))
         val restarted = servers.first { it.held != null }
-        val plan = planner.plan(servers.map { if (it == restarted) it.copy(held = null) else it })
+        val plan = planner.plan(
+            servers.map {
+                if (it ==
+                    restarted
+                ) {
+                    it.copy(held = null)
+                } else {
+                    it
+                }
+            }
+        ).layers
         assertEquals(all, covered(plan, servers))
     }
 }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PlacementControllerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PlacementControllerTest.kt
@@ -75,7 +75,7 @@
 
     @Test
     fun `a new holder does not move what servers hold already`() {
-        val plan = LayerPlanner(model).plan(centre("a").map(::placed))
+        val plan = LayerPlanner(model).plan(centre("a").map(::placed)).layers
         val servers = centre("a").map { it.copy(held = plan[it.id]) }
         repeat(3) {
             step(servers)
@@ -83,4 +83,20 @@
         }
         assertEquals(emptyList(), orders.placed)
     }
+
+    @Test
+    fun `a lost server that may return does not make the others give up their layers`() {
+        val fleet = (1..2).map { modelServer("l$it", "a", "large") } + centre("a").takeLast(9)
+        val plan = LayerPlanner(model).plan(fleet.map(::placed)).layers
+        val servers = fleet.map { it.copy(held = plan[it.id]) }
+        val rest = servers.filter { it.id != "l1" }
+        repeat(3) {
+            step(rest)
+            clock.advance(1.seconds)
+        }
+        for ((id, layers) in orders.placed) {
+            val held = rest.single { it.id == id }.held ?: continue
+            assertTrue(layers.from <= held.from && layers.until >= held.until, id)
+        }
+    }
 }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -26,9 +26,16 @@
         val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
         val service = BackendService("model", 10, model.copy(layerMegabytes = 500.0))
         selector.update(Fleet(servers), null)
-        val budgets = RetryBudgets(1.0, 10, { 1 })
+        val budgets = RetryBudgets(1.0, 10, { 1.0 })
         val reply = RecordedReply()
-        val executor = StreamExecutor(selector, client, budgets, Watchdog(clock::now), clock::now)
+        val executor = StreamExecutor(
+            selector,
+            client,
+            budgets,
+            Watchdog(clock::now),
+            StallInspector(selector, { null }, Runnable::run, clock::now),
+            clock::now
+        )
         executor.run(
             RequestTask(
                 request(at = clock.now()),
