--- a/routing/src/main/kotlin/org/bramleytrestle/routing/RetryBudget.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/RetryBudget.kt
@@ -28,6 +28,13 @@
         return true
     }
 
+    /** Whether [tryRetry] would succeed now. */
+    @Synchronized
+    public fun allowsRetry(fraction: Double, floor: Int = FLOOR): Boolean {
+        slot()
+        return retries.sum() < firsts.sum() * fraction + floor
+    }
+
     /**
      * Allows the resumption of a stream. It draws on its own budget, so that retries of new work
      * cannot exhaust it: each running stream and each first attempt allows one resumption.
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/LayerPlanner.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/LayerPlanner.kt
@@ -60,7 +60,8 @@
     private fun planGroup(group: List<PlacedServer>, mayReplace: Boolean): Map<String, LayerRange> {
         val held = group.mapNotNull { server -> server.held?.let { server.id to it } }.toMap()
         if (held.isEmpty()) return fresh(group)
-        val filled = grow(group, fillFromIdle(group, held))
+        val tokens = maxOf(minimumTokens, largestRoom(group) * SHARE_FOR_REPAIR)
+        val filled = grow(group, fillFromIdle(group, held, tokens), tokens)
         val keep = gaps(filled.values).isEmpty() || !mayReplace
         return if (keep) filled else fresh(group).ifEmpty { filled }
     }
@@ -88,14 +89,15 @@
 
     private fun fillFromIdle(
         group: List<PlacedServer>,
-        held: Map<String, LayerRange>
+        held: Map<String, LayerRange>,
+        tokens: Double
     ): Map<String, LayerRange> {
         val plan = held.toMutableMap()
         val idle = group.filter { it.id !in held }
             .sortedWith(compareBy({ it.pace }, { -it.megabytes }))
         for (server in idle) {
             val gap = gaps(plan.values).firstOrNull() ?: break
-            val count = minOf(gap.size, capacity(server, fillTokens))
+            val count = minOf(gap.size, capacity(server, tokens))
             if (count > 0) plan[server.id] = LayerRange(gap.from, gap.from + count)
         }
         return plan
@@ -103,14 +105,15 @@
 
     private fun grow(
         group: List<PlacedServer>,
-        held: Map<String, LayerRange>
+        held: Map<String, LayerRange>,
+        tokens: Double
     ): Map<String, LayerRange> {
         val plan = held.toMutableMap()
         val servers = group.associateBy { it.id }
         for (gap in gaps(plan.values)) {
             var open = gap
             for ((id, range) in plan.entries.map { it.key to it.value }) {
-                val room = capacity(servers.getValue(id), minimumTokens) - range.size
+                val room = capacity(servers.getValue(id), tokens) - range.size
                 val step = minOf(room, open.size)
                 if (step <= 0) continue
                 if (range.until == open.from) {
@@ -159,20 +162,19 @@
     }
 
     private val minimumTokens get() = model.usualTokens * MINIMUM_REQUESTS
-    private val fillTokens get() = model.usualTokens * FILL_REQUESTS
 
     private companion object {
         /** Memory of a group in weights of the model: the weights and as much for requests. */
         const val MEMORY_PER_COPY = 1.8
 
         /** Room given up for running more layers on fast cards and for idle spares. */
-        const val SHARE_OF_LARGEST_ROOM = 0.75
+        const val SHARE_OF_LARGEST_ROOM = 0.9
 
         /** Requests that a server must hold at once to be worth a place in a chain. */
         const val MINIMUM_REQUESTS = 12.0
 
-        /** Requests that a server that fills a gap should hold at once. */
-        const val FILL_REQUESTS = 30.0
+        /** Room that a repaired chain keeps; with less, the group is worth placing anew. */
+        const val SHARE_FOR_REPAIR = 0.6
         const val SEARCH_STEPS = 40
     }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StallInspector.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StallInspector.kt
@@ -2,7 +2,8 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.Executor
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Finds the server that made streams of a chain fall silent. Until it is found the whole chain is
@@ -11,7 +12,7 @@
 public class StallInspector(
     private val selector: ServerSelector,
     private val diagnosis: ChainDiagnosis,
-    private val executor: Executor,
+    private val later: (delay: Duration, task: () -> Unit) -> Unit,
     private val now: () -> Moment = Moment::now
 ) {
     private val asked = ConcurrentHashMap<String, Long>()
@@ -22,7 +23,7 @@
         val last = asked[chain.first.id]
         if (last != null && nanos - last < ASK_INTERVAL_NANOS) return
         asked[chain.first.id] = nanos
-        executor.execute {
+        later(REPORT_LAG) {
             val address = diagnosis.faultyAddress(chain.first)
             log.info { "routing: chain=${chain.label} stalled at=$address" }
             if (address != null) selector.stageFailed(chain, address)
@@ -32,6 +33,9 @@
     private companion object {
         val log = KotlinLogging.logger {}
 
+        /** Age of what servers report of themselves, with a reserve. */
+        val REPORT_LAG = 250.milliseconds
+
         /** All streams of a chain stall together, and each question is paid for. */
         const val ASK_INTERVAL_NANOS = 500_000_000L
     }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -16,7 +16,8 @@
     private val budgets: RetryBudgets,
     private val watchdog: Watchdog,
     private val stalls: StallInspector,
-    private val now: () -> Moment = Moment::now
+    private val now: () -> Moment = Moment::now,
+    private val pause: (Duration) -> Unit = { Thread.sleep(it.inWholeMilliseconds) }
 ) {
     private val firstWaits = WaitEstimate(SHORTEST_FIRST_WAIT, LONGEST_FIRST_WAIT)
     private val eventWaits = WaitEstimate(SHORTEST_EVENT_WAIT, LONGEST_EVENT_WAIT)
@@ -37,11 +38,7 @@
         try {
             budgets.countFirst(task.service.name)
             while (mayTry(task, progress)) {
-                val choice = selector.chain(task.service, progress.tried) ?: break
-                if (choice.used > FULL && !progress.begun) {
-                    progress.lastReason = "all chains are full"
-                    break
-                }
+                val choice = chooseWithRoom(task, progress) ?: break
                 if (progress.reached > 0 && !budgets.tryRetry(task.service.name)) break
                 attempt(task, choice, progress, active)?.let { return it }
                 val cause = active.cause
@@ -56,6 +53,22 @@
         }
     }
 
+    /**
+     * Chooses a chain and waits for room if all are full. Load pattern: a chain that is lost for
+     * seconds fills the others, where a place becomes free every few tens of milliseconds.
+     */
+    private fun chooseWithRoom(task: RequestTask, progress: Progress): ChainChoice? {
+        val waitUntil = minOf(now().steadyNanos + LONGEST_QUEUE_WAIT_NANOS, task.deadlineNanos)
+        while (true) {
+            val choice = selector.chain(task.service, progress.tried)
+            if (choice == null || choice.used <= FULL || progress.begun) return choice
+            progress.lastReason = "all chains are full"
+            val over = choice.used > HOPELESS || now().steadyNanos >= waitUntil
+            if (over || task.request.departed()) return null
+            pause(QUEUE_TICK)
+        }
+    }
+
     private fun mayTry(task: RequestTask, progress: Progress) =
         progress.reached < task.route.maxServers &&
             progress.unreached <= UNREACHED_EXTRA &&
@@ -85,13 +98,8 @@
         load.started()
         try {
             val sentAt = now()
-            active.arm(
-                exchange,
-                sentAt.steadyNanos,
-                firstWaits.limit.takeIf {
-                    task.route.repeatable
-                }
-            )
+            val patience = firstWaits.limit.takeIf { mayRepair(task, progress.reached + 1) }
+            active.arm(exchange, sentAt.steadyNanos, patience)
             val answer = exchange.await()
             if (answer is ServerReply.Events) firstWaits.add(now().since(sentAt))
             return settle(task, answer, chain, progress, active)
@@ -173,10 +181,8 @@
             while (true) {
                 // The time in which the caller takes an event is not the server's silence.
                 val askedAt = now()
-                active.progress(
-                    askedAt.steadyNanos,
-                    eventWaits.limit.takeIf { task.route.resumable }
-                )
+                val patience = eventWaits.limit.takeIf { mayRepair(task, progress.reached) }
+                active.progress(askedAt.steadyNanos, patience)
                 val event = events.next() ?: break
                 eventWaits.add(now().since(askedAt))
                 active.progress(now().steadyNanos, null)
@@ -207,6 +213,13 @@
         return true
     }
 
+    /**
+     * Whether another chain could take over. Otherwise the present one is waited for, as callers
+     * wait far longer than it takes to notice an unusual silence.
+     */
+    private fun mayRepair(task: RequestTask, reached: Int) = task.route.resumable &&
+        reached < task.route.maxServers && budgets.allowsRetry(task.service.name)
+
     /** Whether the stream may go on elsewhere. */
     private fun brokenOff(
         task: RequestTask,
@@ -253,8 +266,15 @@
         (task.deadlineNanos - now().steadyNanos).nanoseconds
 
     private companion object {
-        /** Part of a chain's capacity above which new streams are refused. */
+        /** Part of a chain's capacity above which new streams wait. */
         const val FULL = 1.0
+
+        /** Part of a chain's capacity above which waiting would end in a refusal. */
+        const val HOPELESS = 1.3
+
+        /** Callers leave after 2 s without an event; the rest is for the first event. */
+        const val LONGEST_QUEUE_WAIT_NANOS = 1_200_000_000L
+        val QUEUE_TICK = 20.milliseconds
         const val UNREACHED_EXTRA = 2
         val LEAST_TIME = 100.milliseconds
 
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -33,7 +33,7 @@
             client,
             budgets,
             Watchdog(clock::now),
-            StallInspector(selector, { null }, Runnable::run, clock::now),
+            StallInspector(selector, { null }, { _, task -> task() }, clock::now),
             clock::now
         )
         executor.run(
@@ -107,4 +107,50 @@
             for (call in client.calls) assertEquals(true, call.chain?.covers(80), name)
         }
     }
+
+    /** Falls silent after the request and notes whether it was ended. */
+    private class SilentClient(private val silence: () -> Unit) : ServerClient {
+        var ended = false
+
+        override fun open(call: ServerCall) = object : ServerExchange {
+            override fun await(): ServerReply {
+                silence()
+                return ServerReply.Broken("silent")
+            }
+
+            override fun cancel() {
+                ended = true
+            }
+
+            override fun close() = Unit
+        }
+    }
+
+    @Test
+    fun `silence ends an exchange only while another chain could take over`() {
+        for ((allowed, cancelled) in listOf(2 to true, 1 to false)) {
+            val clock = FakeClock()
+            val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
+            selector.update(Fleet(servers), null)
+            val watchdog = Watchdog(clock::now)
+            val client = SilentClient {
+                clock.advance(1.5.seconds)
+                watchdog.check()
+            }
+            val stalls = StallInspector(selector, { null }, { _, task -> task() }, clock::now)
+            val budgets = RetryBudgets(1.0, 10, { 1.0 })
+            StreamExecutor(selector, client, budgets, watchdog, stalls, clock::now).run(
+                RequestTask(
+                    request(at = clock.now()),
+                    RecordedReply(),
+                    route(RequestKind.STREAM, servers = allowed, resumable = true),
+                    BackendService("model", 10, model.copy(layerMegabytes = 500.0)),
+                    null,
+                    20.seconds,
+                    RequestTrace("r1", 1, null)
+                )
+            )
+            assertEquals(cancelled, client.ended, "$allowed servers allowed")
+        }
+    }
 }
