--- a/serving/src/main/kotlin/org/bramleytrestle/serving/Refusals.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Refusals.kt
@@ -9,8 +9,9 @@
 /** Shortest time after which a refused caller may come back. */
 private val SOONEST_RETURN = 200.milliseconds
 
-/** Longest such time if another node can serve the request at once. */
-private val LATEST_RETURN_ELSEWHERE = 400.milliseconds
+/** The same two if another node can serve the request at once. */
+private val SOONEST_RETURN_ELSEWHERE = 20.milliseconds
+private val LATEST_RETURN_ELSEWHERE = 150.milliseconds
 
 /**
  * Longest such time if servers are missing, about the time in which they return. Returns spread
@@ -30,15 +31,23 @@
     at: Moment
 ): RequestOutcome {
     val elsewhere = kind == ErrorKind.LEAVING || kind == ErrorKind.PLATFORM_UNAVAILABLE
-    val longest = if (elsewhere) LATEST_RETURN_ELSEWHERE else LATEST_RETURN
-    val retryAfter = if (kind.retryable) retryAfter(request, at, longest) else null
+    val retryAfter = when {
+        !kind.retryable -> null
+        elsewhere -> retryAfter(request, at, SOONEST_RETURN_ELSEWHERE, LATEST_RETURN_ELSEWHERE)
+        else -> retryAfter(request, at, SOONEST_RETURN, LATEST_RETURN)
+    }
     reply.refuse(kind, detail, retryAfter)
     return RequestOutcome.failed(kind, detail)
 }
 
-private fun retryAfter(request: CallerRequest, at: Moment, longest: Duration): Duration {
+private fun retryAfter(
+    request: CallerRequest,
+    at: Moment,
+    soonest: Duration,
+    longest: Duration
+): Duration {
     val left = (request.patience ?: (longest * RETURN_SHARE)) - at.since(request.receivedAt)
-    val latest = minOf(longest, left / RETURN_SHARE)
-    val span = (latest - SOONEST_RETURN).coerceAtLeast(Duration.ZERO)
-    return minOf(SOONEST_RETURN, latest.coerceAtLeast(Duration.ZERO)) + span * Random.nextDouble()
+    val latest = minOf(longest, left / RETURN_SHARE).coerceAtLeast(Duration.ZERO)
+    val first = minOf(soonest, latest)
+    return first + (latest - first) * Random.nextDouble()
 }
