--- a/serving/src/main/kotlin/org/bramleytrestle/serving/NodeDirectory.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/NodeDirectory.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapBoth
 import io.github.oshai.kotlinlogging.KotlinLogging
 import java.security.SecureRandom
@@ -45,13 +46,8 @@
     }
 
     /** Peer addresses of all nodes that ever registered. */
-    public suspend fun peers(): Result<List<String>, StoreError> {
-        val listed = store.list(NODES)
-        return listed.mapBoth(
-            { found -> com.github.michaelbull.result.Ok(found.items.mapNotNull(::address)) },
-            { com.github.michaelbull.result.Err(it) }
-        )
-    }
+    public suspend fun peers(): Result<List<String>, StoreError> =
+        store.list(NODES).map { found -> found.items.mapNotNull(::address) }
 
     private fun address(item: StoredObject) = (item.value as? JsonPrimitive)?.contentOrNull
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
@@ -1,5 +1,6 @@
 package org.bramleytrestle.serving
 
+import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.nanoseconds
@@ -139,7 +140,7 @@
             while (true) task.reply.event(events.next() ?: break)
         } catch (e: CallerReply.CallerGone) {
             throw e
-        } catch (e: java.io.IOException) {
+        } catch (e: IOException) {
             task.reply.abort()
             return RequestOutcome.failed(ErrorKind.BACKEND_FAILED, "stream broke off: $e")
         }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/Refusals.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Refusals.kt
@@ -6,19 +6,19 @@
 import kotlin.time.Duration.Companion.seconds
 import org.bramleytrestle.model.ErrorKind
 
-/** Shortest time after which a refused caller may come back. */
+/** Shortest time after which a refused caller may come back if servers are missing. */
 private val SOONEST_RETURN = 200.milliseconds
 
-/** The same two if another node can serve the request at once. */
-private val SOONEST_RETURN_ELSEWHERE = 20.milliseconds
-private val LATEST_RETURN_ELSEWHERE = 150.milliseconds
-
 /**
- * Longest such time if servers are missing, about the time in which they return. Returns spread
- * between the two, so that they do not come as one wave.
+ * Longest such time, about the time in which servers return. Returns spread between the two, so
+ * that they do not come as one wave.
  */
 private val LATEST_RETURN = 4.seconds
 
+/** The same two if another node can serve the request at once. */
+private val SOONEST_RETURN_ELSEWHERE = 20.milliseconds
+private val LATEST_RETURN_ELSEWHERE = 150.milliseconds
+
 /** Part of the time left within which a return still leaves time for the answer. */
 private const val RETURN_SHARE = 4
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerReply.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerReply.kt
@@ -1,7 +1,5 @@
 package org.bramleytrestle.serving
 
-import kotlin.time.Duration
-
 /** What came of sending a request to a server. */
 public sealed interface ServerReply {
     /**
@@ -14,8 +12,7 @@
         val reason: String,
         val reached: Boolean,
         val misdirected: Boolean = false,
-        val faultyAddress: String? = null,
-        val retryAfter: Duration? = null
+        val faultyAddress: String? = null
     ) : ServerReply
 
     /** No usable answer; the request may have run. */
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServingBounds.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServingBounds.kt
@@ -10,14 +10,12 @@
  * @property retryRatio repeats for each request that all nodes may send to a service.
  * @property retrySlack repeats that all nodes may send in any case.
  * @property keyRevocation time after which a removed key must not pass anywhere.
- * @property serverDrain time for which a leaving server still takes work.
  * @property processGrace time between the request to stop and the forced end of the process.
  */
 public data class ServingBounds(
     val retryRatio: Double = 0.2,
     val retrySlack: Int = 0,
     val keyRevocation: Duration = 5.seconds,
-    val serverDrain: Duration = 2.seconds,
     val processGrace: Duration = 8.seconds
 ) {
     /** Oldest confirmation of the configuration with which a key still passes. */
