--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ActiveRequest.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ActiveRequest.kt
@@ -13,15 +13,28 @@
     @Volatile
     private var stallNanos = Long.MAX_VALUE
 
+    @Volatile
+    private var mayEnd: () -> Boolean = { true }
+
     /** Why the current exchange was ended; the first cause stays until the next [arm]. */
     @Volatile
     public var cause: CancelCause? = null
         private set
 
-    /** Watches [exchange], which is ended after [patience] without [progress]. */
+    /**
+     * Watches [exchange], which is ended after [patience] without [progress].
+     *
+     * @param mayEnd asked once before silence ends the exchange; false lets it go on.
+     */
     @Synchronized
-    public fun arm(exchange: ServerExchange, nowNanos: Long, patience: Duration?) {
+    public fun arm(
+        exchange: ServerExchange,
+        nowNanos: Long,
+        patience: Duration?,
+        mayEnd: () -> Boolean = { true }
+    ) {
         this.exchange = exchange
+        this.mayEnd = mayEnd
         if (cause == CancelCause.STALLED) cause = null
         progress(nowNanos, patience)
     }
@@ -46,6 +59,10 @@
             stallNanos != Long.MAX_VALUE && nowNanos - stallNanos >= 0 -> CancelCause.STALLED
             else -> return
         }
+        if (found == CancelCause.STALLED && !mayEnd()) {
+            stallNanos = Long.MAX_VALUE
+            return
+        }
         cancel(found)
     }
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
@@ -24,6 +24,10 @@
     private class Progress {
         val tried = mutableSetOf<String>()
         var reached = 0
+
+        /** Whether the repeat after a stall was taken from the budget before the stall's end. */
+        @Volatile
+        var repeatTaken = false
         var mayHaveRun = false
         var failedAnswer: ServerReply.Whole? = null
         var lastReason = "no server is ready"
@@ -36,7 +40,9 @@
             val progress = Progress()
             while (mayTry(task, progress)) {
                 val server = selector.server(task.service.name, progress.tried) ?: break
-                if (progress.reached > 0 && !budgets.tryRetry(task.service.name)) break
+                val paid = progress.reached == 0 || progress.repeatTaken
+                if (!paid && !budgets.tryRetry(task.service.name)) break
+                progress.repeatTaken = false
                 attempt(task, server, progress, active)?.let { return it }
                 val cause = active.cause
                 if (cause == CancelCause.DEADLINE || cause == CancelCause.DEPARTED) break
@@ -73,7 +79,9 @@
         val exchange = client.open(call)
         load.started()
         val answer = try {
-            active.arm(exchange, now().steadyNanos, patience(task, progress))
+            active.arm(exchange, now().steadyNanos, patience(task, progress)) {
+                budgets.tryRetry(task.service.name).also { progress.repeatTaken = it }
+            }
             exchange.await()
         } finally {
             active.disarm()
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -25,7 +25,12 @@
     private class Progress(var lastEvent: Long?) {
         val tried = mutableSetOf<String>()
         var reached = 0
+        var refused = 0
         var unreached = 0
+
+        /** Whether the repeat after a stall was taken from the budget before the stall's end. */
+        @Volatile
+        var repeatTaken = false
         var mayHaveRun = false
         var begun = false
         var failedAnswer: ServerReply.Whole? = null
@@ -39,7 +44,7 @@
             budgets.countFirst(task.service.name)
             while (mayTry(task, progress)) {
                 val choice = chooseWithRoom(task, progress) ?: break
-                if (progress.reached > 0 && !budgets.tryRetry(task.service.name)) break
+                if (!mayRepeat(task, progress)) break
                 attempt(task, choice, progress, active)?.let { return it }
                 val cause = active.cause
                 if (cause == CancelCause.DEADLINE || cause == CancelCause.DEPARTED) break
@@ -69,8 +74,17 @@
         }
     }
 
+    /** Whether the attempt is the first or the budget has room for it. */
+    private fun mayRepeat(task: RequestTask, progress: Progress): Boolean {
+        val taken = progress.repeatTaken
+        progress.repeatTaken = false
+        return taken || progress.reached + progress.refused == 0 ||
+            budgets.tryRetry(task.service.name)
+    }
+
     private fun mayTry(task: RequestTask, progress: Progress) =
         progress.reached < task.route.maxServers &&
+            progress.refused < task.route.maxServers &&
             progress.unreached <= UNREACHED_EXTRA &&
             left(task) > LEAST_TIME
 
@@ -99,7 +113,10 @@
         try {
             val sentAt = now()
             val patience = firstWaits.limit.takeIf { mayRepair(task, progress.reached + 1) }
-            active.arm(exchange, sentAt.steadyNanos, patience)
+            // Many streams of a chain stall together, so each must be sure of its repeat first.
+            active.arm(exchange, sentAt.steadyNanos, patience) {
+                budgets.tryRetry(task.service.name).also { progress.repeatTaken = it }
+            }
             val answer = exchange.await()
             if (answer is ServerReply.Events) firstWaits.add(now().since(sentAt))
             return settle(task, answer, chain, progress, active)
@@ -156,7 +173,7 @@
     ) {
         task.trace.result("not run: ${answer.reason} at=${answer.faultyAddress}")
         progress.lastReason = answer.reason
-        if (answer.reached) progress.reached++ else progress.unreached++
+        if (answer.reached) progress.refused++ else progress.unreached++
         val faulty = answer.faultyAddress
         when {
             faulty != null -> selector.stageFailed(chain, faulty)
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -84,6 +84,13 @@
                 "begin,1,2,abort",
                 listOf(null)
             ),
+            Case(
+                "a refusal after a break does not use up the servers allowed",
+                true,
+                listOf(events(1..2L, breaks = true), full, events(3..4L)),
+                "begin,1,2,3,4,end",
+                listOf(null, 2, 2)
+            ),
             Case("no events", false, listOf(broken), "refused BACKEND_FAILED", listOf(null)),
             Case(
                 "refused first",
@@ -128,7 +135,9 @@
 
     @Test
     fun `silence ends an exchange only while another chain could take over`() {
-        for ((allowed, cancelled) in listOf(2 to true, 1 to false)) {
+        data class Silence(val allowed: Int, val slack: Int, val cancelled: Boolean)
+        val cases = listOf(Silence(2, 10, true), Silence(1, 10, false), Silence(2, 0, false))
+        for ((allowed, slack, cancelled) in cases) {
             val clock = FakeClock()
             val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
             selector.update(Fleet(servers), null)
@@ -138,7 +147,7 @@
                 watchdog.check()
             }
             val stalls = StallInspector(selector, { null }, { _, task -> task() }, clock::now)
-            val budgets = RetryBudgets(1.0, 10, { 1.0 })
+            val budgets = RetryBudgets(0.0, slack, { 1.0 })
             StreamExecutor(selector, client, budgets, watchdog, stalls, clock::now).run(
                 RequestTask(
                     request(at = clock.now()),
@@ -150,7 +159,7 @@
                     RequestTrace("r1", 1, null)
                 )
             )
-            assertEquals(cancelled, client.ended, "$allowed servers allowed")
+            assertEquals(cancelled, client.ended, "$allowed servers, budget $slack")
         }
     }
 }
--- /dev/null
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/WatchdogTest.kt
@@ -0,0 +1,33 @@
+package org.bramleytrestle.serving
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class WatchdogTest {
+    @Test
+    fun `streams that stall together end only as far as the retry budget reaches`() {
+        val clock = FakeClock()
+        val watchdog = Watchdog(clock::now)
+        var ended = 0
+        var left = 3
+        repeat(5) {
+            val exchange = object : ServerExchange {
+                override fun await() = error("not used")
+
+                override fun cancel() {
+                    ended++
+                }
+
+                override fun close() = Unit
+            }
+            val deadline = clock.now().steadyNanos + 10.seconds.inWholeNanoseconds
+            watchdog.watch(deadline) { false }
+                .arm(exchange, clock.now().steadyNanos, 100.milliseconds) { left-- > 0 }
+        }
+        clock.advance(200.milliseconds)
+        repeat(3) { watchdog.check() }
+        assertEquals(3, ended)
+    }
+}
