Bound the servers that get a request, one class of attempts for both executors

Cause: the two executors counted differently. A stream's refusals did not count as servers that got the request, so it could be sent to one server more than its route allows; plain requests counted them. Both kept the same bookkeeping twice.

Change: Attempts holds servers, sends, the repeat budget and the last reason for both. A route bounds distinct servers, whether they run a request or refuse it; a server that had the request may get it again, so a stream that broke off and was then refused waits up to 500 ms for a chain behind the servers it may use, instead of taking a third one. Model servers get the request's urgency (priority of the organisation, else of the route), which was decoded and not passed on. A choice of chain looks at single servers only while some server is avoided.

Ruled out: a read that fails with 500 does not succeed later or elsewhere.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestTask.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestTask.kt
@@ -14,4 +14,8 @@
 ) {
     public val deadlineNanos: Long
         get() = request.receivedAt.steadyNanos + patience.inWholeNanoseconds
+
+    /** Rank among waiting requests, 0 first; an organisation's goes before its route's. */
+    public val urgency: Int
+        get() = owner?.priority ?: route.priority
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoad.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoad.kt
@@ -7,7 +7,10 @@
  * What this node knows of one server beyond its entry: the own requests in flight, the load that
  * it last reported, and until when it is avoided after failures.
  */
-public class ServerLoad(private val now: () -> Moment) {
+public class ServerLoad(
+    private val now: () -> Moment,
+    private val onAvoidance: (untilNanos: Long) -> Unit = {}
+) {
     private class Report(val running: Int, val waiting: Int, val ownThen: Int, val at: Moment)
 
     private val inFlight = AtomicInteger()
@@ -54,7 +57,9 @@
     }
 
     private fun avoid(span: Duration) {
-        avoidUntilNanos = now().steadyNanos + span.inWholeNanoseconds
+        val until = now().steadyNanos + span.inWholeNanoseconds
+        avoidUntilNanos = until
+        onAvoidance(until)
     }
 
     private companion object {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
@@ -16,17 +16,18 @@
     private val loads: ServerLoads = ServerLoads(),
     private val now: () -> Moment = Moment::now
 ) {
-    private class View(val fleet: Fleet, val config: RoutingConfig?) {
+    private class View(val fleet: Fleet) {
         val chains = ConcurrentHashMap<Pair<String, Set<String>>, List<Chain>>()
     }
 
-    private val view = AtomicReference(View(Fleet.EMPTY, null))
+    private val view = AtomicReference(View(Fleet.EMPTY))
     private val brokenChains = ConcurrentHashMap<String, Long>()
 
     public val fleet: Fleet get() = view.get().fleet
 
-    public fun update(fleet: Fleet, config: RoutingConfig?) {
-        view.set(View(fleet, config))
+    /** Takes a new fleet, or forgets chains found for the same fleet under other settings. */
+    public fun update(fleet: Fleet) {
+        view.set(View(fleet))
         loads.retain(fleet)
         val nanos = now().steadyNanos
         brokenChains.values.removeIf { nanos - it >= 0 }
@@ -44,20 +45,27 @@
         }
     }
 
-    /** The chain with the most room, or null if no chain covers the model outside [tried]. */
-    public fun chain(service: BackendService, tried: Set<String>): ChainChoice? {
+    /**
+     * The chain with the most room whose first server is in [allowed], or null if there is none.
+     * Chains that failed or that are in [tried] only stand in for a request's first choice.
+     */
+    public fun chain(
+        service: BackendService,
+        tried: Set<String>,
+        allowed: (BackendServer) -> Boolean = { true }
+    ): ChainChoice? {
         val current = view.get()
         val model = service.model ?: return null
         val servers = current.fleet.ready[service.name].orEmpty()
-        val avoided = servers.filter { load(it).avoided }.map { it.id }.toSet()
-        val chains = chains(current, service.name, model, servers, avoided)
+        val chains = chains(current, service.name, model, servers, loads.avoided(servers))
             .ifEmpty { chains(current, service.name, model, servers, emptySet()) }
+            .filter { it.label !in tried && allowed(it.first) }
         val nanos = now().steadyNanos
         val sound = chains.filter { chain ->
             val until = brokenChains[chain.label]
-            chain.label !in tried && (until == null || nanos - until >= 0)
+            until == null || nanos - until >= 0
         }
-        val candidates = sound.ifEmpty { chains.filter { it.label !in tried } }.ifEmpty { chains }
+        val candidates = sound.ifEmpty { chains }
         val fastest = candidates.minOfOrNull { it.stepMillis } ?: return null
         return candidates.map { chain ->
             val used = load(chain.first).estimate / maxOf(1.0, chain.capacity.toDouble())
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -3,8 +3,6 @@
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.nanoseconds
-import org.bramleytrestle.model.ErrorKind
 
 /**
  * Serves streams over chains of model servers. A stream that breaks off or falls silent goes on at
@@ -22,34 +20,29 @@
     private val firstWaits = WaitEstimate(SHORTEST_FIRST_WAIT, LONGEST_FIRST_WAIT)
     private val eventWaits = WaitEstimate(SHORTEST_EVENT_WAIT, LONGEST_EVENT_WAIT)
 
-    private class Progress(var lastEvent: Long?) {
+    /**
+     * What the caller got of the stream, the chains that were sent the request, and those of them
+     * on which it broke off.
+     */
+    private class Progress(task: RequestTask, val attempts: Attempts) {
         val tried = mutableSetOf<String>()
-        var reached = 0
-        var refused = 0
-        var unreached = 0
-
-        /** Whether the repeat after a stall was taken from the budget before the stall's end. */
-        @Volatile
-        var repeatTaken = false
-        var mayHaveRun = false
+        val broken = mutableSetOf<String>()
+        var lastEvent = task.request.lastEvent
         var begun = false
-        var failedAnswer: ServerReply.Whole? = null
-        var lastReason = "no chain covers the model"
     }
 
     public fun run(task: RequestTask): RequestOutcome {
         val active = watchdog.watch(task.deadlineNanos, task.request.departed)
-        val progress = Progress(task.request.lastEvent)
+        val progress = Progress(task, Attempts(task, active, budgets, LEAST_TIME, now))
         try {
             budgets.countFirst(task.service.name)
-            while (mayTry(task, progress)) {
-                val choice = chooseWithRoom(task, progress) ?: break
-                if (!mayRepeat(task, progress)) break
+            progress.attempts.lastReason = "no chain covers the model"
+            while (progress.attempts.mayTry()) {
+                val choice = choose(task, progress) ?: break
+                if (!progress.attempts.pay()) break
                 attempt(task, choice, progress, active)?.let { return it }
-                val cause = active.cause
-                if (cause == CancelCause.DEADLINE || cause == CancelCause.DEPARTED) break
             }
-            return finish(task, progress, active)
+            return finish(task, progress)
         } catch (e: IOException) {
             if (progress.begun && e !is CallerReply.CallerGone) task.reply.abort()
             throw e
@@ -59,35 +52,32 @@
     }
 
     /**
-     * Chooses a chain and waits for room if all are full. Load pattern: a chain that is lost for
-     * seconds fills the others, where a place becomes free every few tens of milliseconds.
+     * Chooses a chain. A new stream waits for room if all are full, a stream that broke off for a
+     * chain behind the servers that it may use, a chain that refused it among them.
+     *
+     * Load pattern: a chain that is lost for seconds fills the others, where a place becomes free
+     * every few tens of milliseconds.
      */
-    private fun chooseWithRoom(task: RequestTask, progress: Progress): ChainChoice? {
-        val waitUntil = minOf(now().steadyNanos + LONGEST_QUEUE_WAIT_NANOS, task.deadlineNanos)
+    private fun choose(task: RequestTask, progress: Progress): ChainChoice? {
+        val since = now()
+        val longest = if (progress.begun) LONGEST_REPAIR_WAIT else LONGEST_QUEUE_WAIT
+        val waitUntil = minOf((since + longest).steadyNanos, task.deadlineNanos)
+        val attempts = progress.attempts
         while (true) {
-            val choice = selector.chain(task.service, progress.tried)
-            if (choice == null || choice.used <= FULL || progress.begun) return choice
-            progress.lastReason = "all chains are full"
-            val over = choice.used > HOPELESS || now().steadyNanos >= waitUntil
-            if (over || task.request.departed()) return null
+            val again = progress.begun && now().since(since) >= REFUSED_AGAIN
+            val avoided = if (again) progress.broken else progress.tried
+            val choice = selector.chain(task.service, avoided, attempts::allows)
+            val waits = when {
+                choice == null -> progress.begun
+                progress.begun || choice.used <= FULL -> return choice
+                else -> choice.used <= HOPELESS
+            }
+            if (choice != null) attempts.lastReason = "all chains are full"
+            if (!waits || now().steadyNanos >= waitUntil || task.request.departed()) return null
             pause(QUEUE_TICK)
         }
     }
 
-    /** Whether the attempt is the first or the budget has room for it. */
-    private fun mayRepeat(task: RequestTask, progress: Progress): Boolean {
-        val taken = progress.repeatTaken
-        progress.repeatTaken = false
-        return taken || progress.reached + progress.refused == 0 ||
-            budgets.tryRetry(task.service.name)
-    }
-
-    private fun mayTry(task: RequestTask, progress: Progress) =
-        progress.reached < task.route.maxServers &&
-            progress.refused < task.route.maxServers &&
-            progress.unreached <= UNREACHED_EXTRA &&
-            left(task) > LEAST_TIME
-
     private fun attempt(
         task: RequestTask,
         choice: ChainChoice,
@@ -95,6 +85,7 @@
         active: ActiveRequest
     ): RequestOutcome? {
         val chain = choice.chain
+        val attempts = progress.attempts
         progress.tried += chain.label
         val load = selector.load(chain.first)
         task.trace.attempt(chain.label, "${load.estimate}/${chain.capacity}")
@@ -102,9 +93,10 @@
             task.request,
             chain.first,
             stream = true,
-            remaining = left(task),
+            remaining = attempts.left,
             chain = chain,
             organisation = task.owner?.name,
+            urgency = task.urgency,
             lastEvent = progress.lastEvent,
             load = load
         )
@@ -112,13 +104,12 @@
         load.started()
         try {
             val sentAt = now()
-            val patience = firstWaits.limit.takeIf { mayRepair(task, progress.reached + 1) }
+            val patience = firstWaits.limit.takeIf { task.route.resumable && !attempts.last }
             // Many streams of a chain stall together, so each must be sure of its repeat first.
-            active.arm(exchange, sentAt.steadyNanos, patience) {
-                budgets.tryRetry(task.service.name).also { progress.repeatTaken = it }
-            }
+            active.arm(exchange, sentAt.steadyNanos, patience, attempts::payAhead)
             val answer = exchange.await()
             if (answer is ServerReply.Events) firstWaits.add(now().since(sentAt))
+            attempts.ended(chain.first, answer)
             return settle(task, answer, chain, progress, active)
         } finally {
             active.disarm()
@@ -136,44 +127,28 @@
     ): RequestOutcome? {
         when (answer) {
             is ServerReply.Whole -> {
-                progress.reached++
-                progress.mayHaveRun = true
                 task.trace.result("status ${answer.status}")
-                if (progress.begun || answer.failed && task.route.repeatable) {
-                    if (!progress.begun) progress.failedAnswer = answer
-                    progress.lastReason = "server answered ${answer.status}"
+                if (progress.begun) return null
+                if (answer.failed && task.route.repeatable) {
+                    progress.attempts.keepFailure(answer)
                     return null
                 }
                 task.reply.answer(answer)
                 return RequestOutcome.answered("status ${answer.status}")
             }
-            is ServerReply.NotRun -> notRun(task, answer, chain, progress)
+            is ServerReply.NotRun -> notRun(task, answer, chain)
             is ServerReply.Broken -> {
-                progress.reached++
-                progress.mayHaveRun = true
                 if (!brokenOff(task, chain, progress, active, answer.reason)) {
-                    return finish(task, progress, active)
+                    return finish(task, progress)
                 }
             }
-            is ServerReply.Events -> {
-                progress.reached++
-                progress.mayHaveRun = true
-                progress.failedAnswer = null
-                return relay(task, answer, chain, progress, active)
-            }
+            is ServerReply.Events -> return relay(task, answer, chain, progress, active)
         }
         return null
     }
 
-    private fun notRun(
-        task: RequestTask,
-        answer: ServerReply.NotRun,
-        chain: Chain,
-        progress: Progress
-    ) {
+    private fun notRun(task: RequestTask, answer: ServerReply.NotRun, chain: Chain) {
         task.trace.result("not run: ${answer.reason} at=${answer.faultyAddress}")
-        progress.lastReason = answer.reason
-        if (answer.reached) progress.refused++ else progress.unreached++
         val faulty = answer.faultyAddress
         when {
             faulty != null -> selector.stageFailed(chain, faulty)
@@ -190,6 +165,7 @@
         active: ActiveRequest
     ): RequestOutcome? {
         var count = 0
+        var longest = Duration.ZERO
         try {
             if (!progress.begun) {
                 task.reply.beginStream(events)
@@ -198,10 +174,12 @@
             while (true) {
                 // The time in which the caller takes an event is not the server's silence.
                 val askedAt = now()
-                val patience = eventWaits.limit.takeIf { mayRepair(task, progress.reached) }
+                val patience = eventWaits.limit.takeIf { mayRepair(task, progress.attempts) }
                 active.progress(askedAt.steadyNanos, patience)
                 val event = events.next() ?: break
-                eventWaits.add(now().since(askedAt))
+                val wait = now().since(askedAt)
+                eventWaits.add(wait)
+                longest = maxOf(longest, wait)
                 active.progress(now().steadyNanos, null)
                 if (!follows(event, progress)) continue
                 task.reply.event(event)
@@ -212,11 +190,18 @@
             task.trace.result("caller left after $count events")
             throw e
         } catch (e: IOException) {
-            val goesOn = brokenOff(task, chain, progress, active, "$e after $count events")
-            return if (goesOn) null else finish(task, progress, active)
+            val goesOn =
+                brokenOff(
+                    task,
+                    chain,
+                    progress,
+                    active,
+                    "$e after $count events, longest pause $longest"
+                )
+            return if (goesOn) null else finish(task, progress)
         }
         selector.load(chain.first).succeeded()
-        task.trace.result("complete, $count events")
+        task.trace.result("complete, $count events, longest pause $longest")
         task.reply.endStream()
         return RequestOutcome.answered("stream")
     }
@@ -234,8 +219,8 @@
      * Whether another chain could take over. Otherwise the present one is waited for, as callers
      * wait far longer than it takes to notice an unusual silence.
      */
-    private fun mayRepair(task: RequestTask, reached: Int) = task.route.resumable &&
-        reached < task.route.maxServers && budgets.allowsRetry(task.service.name)
+    private fun mayRepair(task: RequestTask, attempts: Attempts) = task.route.resumable &&
+        attempts.mayReachMore && budgets.allowsRetry(task.service.name)
 
     /** Whether the stream may go on elsewhere. */
     private fun brokenOff(
@@ -247,7 +232,8 @@
     ): Boolean {
         val cause = active.cause
         task.trace.result("$reason ${cause ?: ""}")
-        progress.lastReason = reason
+        progress.broken += chain.label
+        progress.attempts.lastReason = reason
         when (cause) {
             null -> selector.chainFailed(chain)
             CancelCause.STALLED -> stalls.stalled(chain)
@@ -256,32 +242,16 @@
         return task.route.resumable && (cause == null || cause == CancelCause.STALLED)
     }
 
-    private fun finish(
-        task: RequestTask,
-        progress: Progress,
-        active: ActiveRequest
-    ): RequestOutcome {
-        val late = active.cause == CancelCause.DEADLINE || left(task) <= LEAST_TIME
-        val answer = progress.failedAnswer
-        val kind = when {
-            !progress.mayHaveRun -> ErrorKind.OVERLOADED
-            late -> ErrorKind.DEADLINE_EXCEEDED
-            else -> ErrorKind.BACKEND_FAILED
-        }
-        if (progress.begun) {
-            task.reply.abort()
-            return RequestOutcome.failed(kind, "broken off: ${progress.lastReason}")
-        }
-        if (answer != null) {
-            task.reply.answer(answer)
-            return RequestOutcome.failed(null, "passed on status ${answer.status}")
-        }
-        return refuseTask(task.request, task.reply, kind, progress.lastReason, now())
+    private fun finish(task: RequestTask, progress: Progress): RequestOutcome {
+        val attempts = progress.attempts
+        if (!progress.begun) return attempts.giveUp()
+        task.reply.abort()
+        return RequestOutcome.failed(
+            attempts.failureKind,
+            "broken off: ${attempts.lastReason}"
+        )
     }
 
-    private fun left(task: RequestTask): Duration =
-        (task.deadlineNanos - now().steadyNanos).nanoseconds
-
     private companion object {
         /** Part of a chain's capacity above which new streams wait. */
         const val FULL = 1.0
@@ -290,9 +260,14 @@
         const val HOPELESS = 1.3
 
         /** Callers leave after 2 s without an event; the rest is for the first event. */
-        const val LONGEST_QUEUE_WAIT_NANOS = 1_200_000_000L
+        val LONGEST_QUEUE_WAIT = 1_200.milliseconds
+
+        /** Leaves a caller that waits 2 s for an event the time for its own repeat. */
+        val LONGEST_REPAIR_WAIT = 500.milliseconds
+
+        /** About the time in which some place of a full chain becomes free. */
+        val REFUSED_AGAIN = 100.milliseconds
         val QUEUE_TICK = 20.milliseconds
-        const val UNREACHED_EXTRA = 2
         val LEAST_TIME = 100.milliseconds
 
         /** Leaves time for another chain within the usual objective of 500 ms. */
