Repair streams within the accepted pause, stop to name nodes without the store

The limit of an unusual silence followed mean and deviation of the waits; passes that read long prompts (up to 115 ms beside the usual 35 ms) raised it to 150 to 250 ms, so that another chain's first event (70 ms) came after 200 ms. 142 requests went to nodes that the store turned away, as peers still named them.

The watchdog looks every 10 ms. A node whose configuration is not confirmed leaves the list of entries and returns with the next confirmation (Cluster.stay, tested in the simulation). Fields that nothing reads are gone.

Ruled out: less than 115 ms, as 5% of streams have a pause over 100 ms; repath, as a server's report names the dead stage 200 ms later.

--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/Cluster.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/Cluster.kt
@@ -28,5 +28,8 @@
     /** Tells peers that this node is leaving; it stays a member until [stop]. */
     public fun leave()
 
+    /** Takes [leave] back, as by a node that regained what it needs to serve. */
+    public fun stay()
+
     public suspend fun stop()
 }
--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterCore.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterCore.kt
@@ -90,6 +90,12 @@
         tellFresh()
     }
 
+    fun stay() {
+        if (table.self.state != MemberState.LEAVING) return
+        table.stay(now)
+        tellFresh()
+    }
+
     fun stop() {
         table.die(now)
         tellFresh()
--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterNode.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterNode.kt
@@ -90,6 +90,8 @@
 
     override fun leave(): Unit = input { it.leave() }
 
+    override fun stay(): Unit = input { it.stay() }
+
     override suspend fun stop() {
         if (jobs.isNotEmpty()) {
             val done = CompletableDeferred<Unit>()
--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/MemberTable.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/MemberTable.kt
@@ -119,6 +119,13 @@
         changed(self, now, withPlace = false)
     }
 
+    /** Takes a [leave] back. */
+    fun stay(now: Long) {
+        self.incarnation++
+        self.state = MemberState.ALIVE
+        changed(self, now, withPlace = true)
+    }
+
     fun die(now: Long) {
         self.state = MemberState.DEAD
         changed(self, now, withPlace = false)
--- a/cluster/src/test/kotlin/org/bramleytrestle/cluster/MembershipTest.kt
+++ b/cluster/src/test/kotlin/org/bramleytrestle/cluster/MembershipTest.kt
@@ -165,6 +165,24 @@
         assertTrue(simulation.nodes.all { it.state(leaving) == MemberState.LEAVING })
     }
 
+    // Guards against callers being kept from a node that regained what it needs to serve.
+    @Test
+    fun `a node that stays after all is alive to all members within a second`() {
+        val simulation = started(9, 3)
+        val node = simulation.node(4)
+        repeat(3) {
+            node.core.leave()
+            simulation.run(5_000)
+            node.core.stay()
+            val time = simulation.runUntil(5_000) {
+                simulation.nodes.all { it.state(node) == MemberState.ALIVE }
+            }
+            assertTrue(assertNotNull(time) <= 1_000, "$time ms")
+        }
+        simulation.run(20_000)
+        assertTrue(simulation.nodes.all { it.state(node) == MemberState.ALIVE })
+    }
+
     // Guards against parts that stay apart, and against members of the other part seen as alive.
     @Test
     fun `a partition between data centres is noticed and heals by itself`() {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/Accelerator.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Accelerator.kt
@@ -4,6 +4,5 @@
  * A kind of accelerator.
  *
  * @property pace factor on the time of a step; higher is slower.
- * @property readFactor factor on the time to read a prompt; higher is slower.
  */
-public data class Accelerator(val megabytes: Double, val pace: Double, val readFactor: Double)
+public data class Accelerator(val megabytes: Double, val pace: Double)
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/CallerLimits.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/CallerLimits.kt
@@ -1,4 +1,9 @@
 package org.bramleytrestle.serving
 
 /** What a caller may send. */
-public data class CallerLimits(val headerBytes: Int = 16_384, val bodyBytes: Long = 4_194_304)
+public data class CallerLimits(val bodyBytes: Long = DEFAULT_BODY_BYTES) {
+    public companion object {
+        /** For deployments that state no limit; many times the longest prompt. */
+        public const val DEFAULT_BODY_BYTES: Long = 4_194_304
+    }
+}
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ModelProfile.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ModelProfile.kt
@@ -11,15 +11,12 @@
  * @property stepMillis time of one step through all layers on a card of pace 1.
  * @property cards kinds of accelerators by name.
  * @property usualTokens mean tokens of a request, prompt and answer together.
- * @property linkMegabitsBetweenCentres capacity that all transfers between data centres share.
  */
 public data class ModelProfile(
     val layers: Int,
     val layerMegabytes: Double,
     val cacheBytesPerToken: Double,
     val stepMillis: Double,
-    val activationBytes: Double,
-    val linkMegabitsBetweenCentres: Double,
     val cards: Map<String, Accelerator>,
     val usualTokens: Int,
     val loadTime: Duration
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PeerMembership.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PeerMembership.kt
@@ -18,11 +18,16 @@
     private val own = settings.id
     private val cluster: Cluster = Clusters.tcp(settings, Ignoring, scope)
 
-    /** Nodes that callers may use. */
+    /**
+     * Nodes that callers may use. If none says that it can serve, those that cannot or that leave:
+     * they still serve what needs no key.
+     */
     public val entries: List<EntryNode>
-        get() = cluster.members.value.values
-            .filter { it.state == MemberState.ALIVE || it.state == MemberState.SUSPECT }
-            .map { EntryNode(it.id.value, it.callerAddress, it.dataCentre.value) }
+        get() {
+            val living = cluster.members.value.values.filter { it.state != MemberState.DEAD }
+            val offered = living.filter { it.state != MemberState.LEAVING }.ifEmpty { living }
+            return offered.map { EntryNode(it.id.value, it.callerAddress, it.dataCentre.value) }
+        }
 
     /** Whether this node is the first of all that are certainly alive. */
     public val isFirst: Boolean
@@ -35,6 +40,9 @@
 
     public fun leave(): Unit = cluster.leave()
 
+    /** Tells peers whether they may name this node to callers. */
+    public fun offer(serving: Boolean): Unit = if (serving) cluster.stay() else cluster.leave()
+
     /** Settings come from the store on a platform of objects, so peers only tell who lives. */
     private object Ignoring : ClusterListener {
         override fun settings(): SettingsState = SettingsState.EMPTY
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -17,8 +17,8 @@
     private val now: () -> Moment = Moment::now,
     private val pause: (Duration) -> Unit = { Thread.sleep(it.inWholeMilliseconds) }
 ) {
-    private val firstWaits = WaitEstimate(SHORTEST_FIRST_WAIT, LONGEST_FIRST_WAIT)
-    private val eventWaits = WaitEstimate(SHORTEST_EVENT_WAIT, LONGEST_EVENT_WAIT)
+    private val firstWaits = WaitEstimate(LONGEST_FIRST_WAIT, now)
+    private val eventWaits = WaitEstimate(LONGEST_EVENT_WAIT, now)
 
     /**
      * What the caller got of the stream, the chains that were sent the request, and those of them
@@ -104,7 +104,8 @@
         load.started()
         try {
             val sentAt = now()
-            val patience = firstWaits.limit.takeIf { task.route.resumable && !attempts.last }
+            val patience = firstWaits.limit(SHORTEST_FIRST_WAIT)
+                .takeIf { task.route.resumable && !attempts.last }
             // Many streams of a chain stall together, so each must be sure of its repeat first.
             active.arm(exchange, sentAt.steadyNanos, patience, attempts::payAhead)
             val answer = exchange.await()
@@ -174,7 +175,8 @@
             while (true) {
                 // The time in which the caller takes an event is not the server's silence.
                 val askedAt = now()
-                val patience = eventWaits.limit.takeIf { mayRepair(task, progress.attempts) }
+                val patience = eventWaits.limit(timeToRepair(task.route))
+                    .takeIf { mayRepair(task, progress.attempts) }
                 active.progress(askedAt.steadyNanos, patience)
                 val event = events.next() ?: break
                 val wait = now().since(askedAt)
@@ -222,6 +224,13 @@
     private fun mayRepair(task: RequestTask, attempts: Attempts) = task.route.resumable &&
         attempts.mayReachMore && budgets.allowsRetry(task.service.name)
 
+    /** Silence after which another chain's first event still comes within the usual pause. */
+    private fun timeToRepair(route: Route): Duration {
+        val first = firstWaits.mean ?: return LONGEST_EVENT_WAIT
+        val left = route.longestPause - first * FIRST_WAIT_MARGIN - Watchdog.TICK
+        return maxOf(SHORTEST_EVENT_WAIT, left)
+    }
+
     /** Whether the stream may go on elsewhere. */
     private fun brokenOff(
         task: RequestTask,
@@ -276,8 +285,11 @@
         /** Callers give a stream up after 2 s without an event; half of it is left for a repair. */
         val LONGEST_FIRST_WAIT = 1_000.milliseconds
 
-        /** Leaves time for another chain within the usual bound of 200 ms between events. */
-        val SHORTEST_EVENT_WAIT = 130.milliseconds
+        /** A stream that goes on elsewhere has its answer so far read again beside its prompt. */
+        const val FIRST_WAIT_MARGIN = 1.25
+
+        /** About the time of the longest usual pass, which reads a long prompt. */
+        val SHORTEST_EVENT_WAIT = 115.milliseconds
         val LONGEST_EVENT_WAIT = 600.milliseconds
     }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/Watchdog.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Watchdog.kt
@@ -52,10 +52,10 @@
         }
     }
 
-    private companion object {
-        val log = KotlinLogging.logger {}
+    internal companion object {
+        private val log = KotlinLogging.logger {}
 
-        /** A tenth of the pause that callers of streams take as usual. */
-        val TICK = 20.milliseconds
+        /** A twentieth of the pause that callers of streams take as usual. */
+        val TICK = 10.milliseconds
     }
 }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
@@ -24,13 +24,11 @@
     layerMegabytes = 1_750.0,
     cacheBytesPerToken = 845_373.0,
     stepMillis = 0.85,
-    activationBytes = 42_268.0,
-    linkMegabitsBetweenCentres = 9_000.0,
     cards = mapOf(
-        "large" to Accelerator(72_000.0, 1.4, 1.0),
-        "middle" to Accelerator(36_000.0, 3.1, 3.2),
-        "small" to Accelerator(21_600.0, 16.0, 8.2),
-        "tiny" to Accelerator(14_400.0, 15.0, 15.0)
+        "large" to Accelerator(72_000.0, 1.4),
+        "middle" to Accelerator(36_000.0, 3.1),
+        "small" to Accelerator(21_600.0, 16.0),
+        "tiny" to Accelerator(14_400.0, 15.0)
     ),
     usualTokens = 944,
     loadTime = 14.seconds
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PlacementControllerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PlacementControllerTest.kt
@@ -27,7 +27,7 @@
     private var holdsLease = true
     private val controller = PlacementController(orders, { holdsLease }, clock::now)
     private val config =
-        RoutingConfig(1, 1, emptyList(), listOf(BackendService("model", 10, model)), emptyList())
+        RoutingConfig(1, 1, emptyList(), listOf(BackendService("model", model)), emptyList())
 
     private fun step(servers: List<BackendServer>) = controller.step(Fleet(servers), config)
 
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PlainExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PlainExecutorTest.kt
@@ -31,7 +31,7 @@
                 request(at = clock.now()),
                 reply,
                 route(kind),
-                BackendService("desk", 10),
+                BackendService("desk"),
                 null,
                 20.seconds,
                 RequestTrace("r1", 1, null)
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -25,7 +25,7 @@
     private fun run(resumable: Boolean, client: ScriptedClient): String {
         val clock = FakeClock()
         val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
-        val service = BackendService("model", 10, model.copy(layerMegabytes = 500.0))
+        val service = BackendService("model", model.copy(layerMegabytes = 500.0))
         selector.update(Fleet(servers))
         val budgets = RetryBudgets(1.0, 10, { 1.0 })
         val reply = RecordedReply()
@@ -164,7 +164,7 @@
                     request(at = clock.now()),
                     RecordedReply(),
                     route(RequestKind.STREAM, servers = allowed, resumable = true),
-                    BackendService("model", 10, model.copy(layerMegabytes = 500.0)),
+                    BackendService("model", model.copy(layerMegabytes = 500.0)),
                     null,
                     20.seconds,
                     RequestTrace("r1", 1, null)
