--- a/serving/src/main/kotlin/org/bramleytrestle/serving/Chain.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Chain.kt
@@ -12,7 +12,7 @@
     public val first: BackendServer get() = stages.first().server
 
     /** Names the chain in logs. */
-    public val label: String get() = stages.joinToString(">") { it.server.id }
+    public val label: String = stages.joinToString(">") { it.server.id }
 
     public fun covers(layers: Int): Boolean =
         LayerRange.coversExactly(stages.map { it.layers }, layers)
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PeerMembership.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PeerMembership.kt
@@ -29,10 +29,10 @@
             return offered.map { EntryNode(it.id.value, it.callerAddress, it.dataCentre.value) }
         }
 
-    /** Whether this node is the first of all that are certainly alive. */
-    public val isFirst: Boolean
-        get() = cluster.members.value.values.filter { it.state == MemberState.ALIVE }
-            .minOfOrNull { it.id.value }.let { it == null || it >= own.value }
+    /** Number of certainly living nodes before this one; the first does what one must do. */
+    public val rank: Int
+        get() = cluster.members.value.values
+            .count { it.state == MemberState.ALIVE && it.id.value < own.value }
 
     public suspend fun start(): Unit = cluster.start()
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoad.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoad.kt
@@ -7,10 +7,7 @@
  * What this node knows of one server beyond its entry: the own requests in flight, the load that
  * it last reported, and until when it is avoided after failures.
  */
-public class ServerLoad(
-    private val now: () -> Moment,
-    private val onAvoidance: (untilNanos: Long) -> Unit = {}
-) {
+public class ServerLoad(private val now: () -> Moment, private val onAvoidance: () -> Unit = {}) {
     private class Report(val running: Int, val waiting: Int, val ownThen: Int, val at: Moment)
 
     private val inFlight = AtomicInteger()
@@ -25,11 +22,13 @@
     public val own: Int get() = inFlight.get()
 
     /** Requests at the server: the reported ones, changed by what this node did since. */
-    public val estimate: Int
-        get() {
-            val last = report?.takeIf { now().since(it.at) < REPORT_LIFE } ?: return own
-            return maxOf(own, last.running + last.waiting + own - last.ownThen)
-        }
+    public val estimate: Int get() = estimate(now())
+
+    /** [estimate] for a caller that asks many servers at one moment. */
+    internal fun estimate(at: Moment): Int {
+        val last = report?.takeIf { at.since(it.at) < REPORT_LIFE } ?: return own
+        return maxOf(own, last.running + last.waiting + own - last.ownThen)
+    }
 
     public val avoided: Boolean
         get() = avoidUntilNanos != Long.MIN_VALUE && now().steadyNanos < avoidUntilNanos
@@ -57,9 +56,8 @@
     }
 
     private fun avoid(span: Duration) {
-        val until = now().steadyNanos + span.inWholeNanoseconds
-        avoidUntilNanos = until
-        onAvoidance(until)
+        avoidUntilNanos = now().steadyNanos + span.inWholeNanoseconds
+        onAvoidance()
     }
 
     private companion object {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoads.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoads.kt
@@ -1,7 +1,6 @@
 package org.bramleytrestle.serving
 
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicLong
 
 /** [ServerLoad] of each run of a server that this node knows. */
 public class ServerLoads(private val now: () -> Moment = Moment::now) {
@@ -9,26 +8,29 @@
 
     private val loads = ConcurrentHashMap<Run, ServerLoad>()
 
-    /** End of the last avoidance of any server, so that most decisions look at no server. */
-    private val avoidanceEnd = AtomicLong(now().steadyNanos)
+    /** Those that failed lately, so that most decisions look at no other server. */
+    private val failed = ConcurrentHashMap.newKeySet<Run>()
 
-    public fun of(server: BackendServer): ServerLoad =
-        loads.computeIfAbsent(Run(server.id, server.bornMillis)) { ServerLoad(now, ::avoidUntil) }
+    public fun of(server: BackendServer): ServerLoad {
+        val run = Run(server.id, server.bornMillis)
+        return loads.computeIfAbsent(run) { ServerLoad(now) { failed += run } }
+    }
 
-    /** Ids of those of [servers] that are avoided. */
-    public fun avoided(servers: List<BackendServer>): Set<String> {
-        if (now().steadyNanos - avoidanceEnd.get() >= 0) return emptySet()
-        return servers.filter { of(it).avoided }.mapTo(mutableSetOf()) { it.id }
+    /** Ids of those servers of [service] in [fleet] that are avoided. */
+    public fun avoided(fleet: Fleet, service: String): Set<String> {
+        if (failed.isEmpty()) return emptySet()
+        failed.removeIf { loads[it]?.avoided != true }
+        return failed.mapNotNull { run -> fleet.byId[run.id]?.takeIf { it.isRun(run, service) } }
+            .mapTo(mutableSetOf()) { it.id }
     }
 
+    private fun BackendServer.isRun(run: Run, service: String) =
+        bornMillis == run.bornMillis && this.service == service
+
     /** Forgets runs that are not in [fleet] and have no request in flight. */
     public fun retain(fleet: Fleet) {
         loads.entries.removeIf { (run, load) ->
             load.own == 0 && fleet.byId[run.id]?.bornMillis != run.bornMillis
         }
     }
-
-    private fun avoidUntil(nanos: Long) {
-        avoidanceEnd.accumulateAndGet(nanos) { a, b -> if (a - b >= 0) a else b }
-    }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
@@ -16,8 +16,13 @@
     private val loads: ServerLoads = ServerLoads(),
     private val now: () -> Moment = Moment::now
 ) {
+    /** A chain with the parts of its cost that depend on the fleet alone. */
+    private class Candidate(val chain: Chain, val load: ServerLoad, val fixedCost: Double) {
+        val capacity = maxOf(1.0, chain.capacity.toDouble())
+    }
+
     private class View(val fleet: Fleet) {
-        val chains = ConcurrentHashMap<Pair<String, Set<String>>, List<Chain>>()
+        val chains = ConcurrentHashMap<Pair<String, Set<String>>, List<Candidate>>()
     }
 
     private val view = AtomicReference(View(Fleet.EMPTY))
@@ -57,22 +62,37 @@
         val current = view.get()
         val model = service.model ?: return null
         val servers = current.fleet.ready[service.name].orEmpty()
-        val chains = chains(current, service.name, model, servers, loads.avoided(servers))
-            .ifEmpty { chains(current, service.name, model, servers, emptySet()) }
-            .filter { it.label !in tried && allowed(it.first) }
-        val nanos = now().steadyNanos
-        val sound = chains.filter { chain ->
-            val until = brokenChains[chain.label]
-            until == null || nanos - until >= 0
+        val candidates = candidates(
+            current,
+            service.name,
+            model,
+            servers,
+            loads.avoided(current.fleet, service.name)
+        )
+            .ifEmpty { candidates(current, service.name, model, servers, emptySet()) }
+        val at = now()
+        var best: ChainChoice? = null
+        var bestSound = false
+        var bestCost = Double.MAX_VALUE
+        for (candidate in candidates) {
+            val chain = candidate.chain
+            if (chain.label in tried || !allowed(chain.first)) continue
+            val sound = !broken(chain, at)
+            if (bestSound && !sound) continue
+            val used = candidate.load.estimate(at) / candidate.capacity
+            val cost = used + candidate.fixedCost
+            if (cost < bestCost || sound && !bestSound) {
+                best = ChainChoice(chain, used)
+                bestSound = sound
+                bestCost = cost
+            }
         }
-        val candidates = sound.ifEmpty { chains }
-        val fastest = candidates.minOfOrNull { it.stepMillis } ?: return null
-        return candidates.map { chain ->
-            val used = load(chain.first).estimate / maxOf(1.0, chain.capacity.toDouble())
-            val remote = if (chain.first.dataCentre == dataCentre) 0.0 else REMOTE_CHAIN_COST
-            val slow = (chain.stepMillis / fastest - 1) * SLOWNESS_COST
-            ChainChoice(chain, used) to used + remote + slow
-        }.minByOrNull { it.second }?.first
+        return best
+    }
+
+    private fun broken(chain: Chain, at: Moment): Boolean {
+        val until = brokenChains[chain.label] ?: return false
+        return at.steadyNanos - until < 0
     }
 
     /** Avoids [chain], of which it isn't known which server failed. */
@@ -86,19 +106,24 @@
         if (stage == null) chainFailed(chain) else load(stage.server).failed()
     }
 
-    private fun chains(
+    private fun candidates(
         current: View,
         service: String,
         model: ModelProfile,
         servers: List<BackendServer>,
         avoided: Set<String>
-    ): List<Chain> = current.chains.computeIfAbsent(service to avoided) {
+    ): List<Candidate> = current.chains.computeIfAbsent(service to avoided) {
         val found = ChainFinder(model).find(servers.filter { it.id !in avoided })
         log.info {
             "routing: service=$service servers=${servers.size} avoided=${avoided.size} " +
                 "chains=" + found.joinToString(";") { "${it.label}/${it.capacity}" }
         }
-        found
+        val fastest = found.minOfOrNull { it.stepMillis } ?: 1.0
+        found.map { chain ->
+            val remote = if (chain.first.dataCentre == dataCentre) 0.0 else REMOTE_CHAIN_COST
+            val slow = (chain.stepMillis / fastest - 1) * SLOWNESS_COST
+            Candidate(chain, load(chain.first), remote + slow)
+        }
     }
 
     private companion object {
--- a/store/src/main/kotlin/org/bramleytrestle/store/Lease.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/Lease.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapBoth
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
@@ -24,7 +25,8 @@
     private val holder: String,
     private val duration: Duration,
     private val orderBound: Duration,
-    timeSource: TimeSource
+    timeSource: TimeSource,
+    private val endedRun: (holder: String) -> Boolean
 ) {
     private class Held(
         val fencingNumber: Long,
@@ -63,14 +65,37 @@
         remaining > Duration.ZERO
     }
 
-    /** Keeps trying to hold the lease until cancelled, several times per duration. */
-    public suspend fun maintain(eligible: () -> Boolean = { true }): Nothing {
+    /**
+     * Keeps trying to hold the lease until cancelled, several times per duration.
+     *
+     * @param standsBy whether a process that is not eligible follows the lease, so that it can take
+     * over one duration after the last renewal instead of one after it became eligible.
+     */
+    public suspend fun maintain(
+        eligible: () -> Boolean = { true },
+        standsBy: () -> Boolean = { false }
+    ): Nothing {
+        var holding = false
         while (true) {
             if (eligible()) acquireOrRenew() else release()
+            if (!eligible() && standsBy()) follow()
+            val holds = remaining > Duration.ZERO
+            if (holds != holding) {
+                holding = holds
+                log.info { "lease: name=$name holder=$holder held=$holds version=$observedVersion" }
+            }
             delay(duration / STEPS_PER_DURATION)
         }
     }
 
+    /** Notes the lease's version, from whose age its end follows. */
+    public suspend fun follow(): Unit = steps.withLock {
+        store.get(KIND, name).mapBoth(
+            { observe(it.version) },
+            { log.debug { "lease: name=$name cannot be read: $it" } }
+        )
+    }
+
     /** Gives the lease up, so that another holder need not wait for its end. */
     public suspend fun release(): Unit = steps.withLock {
         val current = held ?: return
@@ -127,7 +152,8 @@
         val record = decoded(found)
         val term = maxOf(duration, record.durationMillis.milliseconds)
         // The own name shows after a lost answer or after the lease lapsed unused.
-        val free = record.holder == null || record.holder == holder
+        val last = record.holder
+        val free = last == null || last == holder || endedRun(last)
         if (!free && now() - observedAt < term) return
         val next = LeaseRecord(holder, record.fencingNumber + 1, duration.inWholeMilliseconds)
         val sentAt = now()
@@ -171,6 +197,7 @@
         format.decodeFromJsonElement(LeaseRecord.serializer(), item.value)
 
     private companion object {
+        val log = KotlinLogging.logger {}
         const val KIND = "leases"
         const val STEPS_PER_DURATION = 4
         val format = Json { ignoreUnknownKeys = true }
--- a/store/src/test/kotlin/org/bramleytrestle/store/LeaseTest.kt
+++ b/store/src/test/kotlin/org/bramleytrestle/store/LeaseTest.kt
@@ -108,6 +108,34 @@
         assertTrue(next.mayOrderUnchecked)
     }
 
+    // Guards against seconds without orders after the holder and its successor change in turn.
+    @Test
+    fun `a process that stood by takes over one duration after the last renewal`() = runTest {
+        val store = FakeObjectStore()
+        lease(store, "a").acquireOrRenew()
+        val next = lease(store, "b")
+        next.follow()
+        delay(9.seconds)
+        assertFalse(next.acquireOrRenew())
+        delay(1.seconds)
+        assertTrue(next.acquireOrRenew())
+    }
+
+    // Guards against a fleet that nobody places after all processes were killed.
+    @Test
+    fun `a process takes the lease of its own earlier run at once and nobody else's`() = runTest {
+        val store = FakeObjectStore()
+        lease(store, "a/1").acquireOrRenew()
+        fun run(holder: String, instance: String) =
+            LeaseManager(store, holder, 10.seconds, 2.seconds, testTimeSource) {
+                it.startsWith("$instance/")
+            }.lease("m")
+        assertFalse(run("b/1", "b").acquireOrRenew())
+        val again = run("a/2", "a")
+        assertTrue(again.acquireOrRenew())
+        assertEquals(2, again.ifHeld { it })
+    }
+
     @Test
     fun `a released lease is taken at once`() = runTest {
         val store = FakeObjectStore()
