End a silent stream only if another chain has room, learn from waits cut short

Waits that the limit ended did not count, so load never raised it.

Change: silence ends an exchange only if a sound chain behind another server, allowed to the request, has room; otherwise it is looked at again after 100 ms. A wait that was cut short counts in the estimate. A stream that fell silent behind a server goes on behind another one first. Tests: StreamExecutorTest (no other chain, the other chain full) and WatchdogTest fail without the change.

Not mended: a chain takes as many streams as its memory holds, whatever its pauses are.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ActiveRequest.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ActiveRequest.kt
@@ -1,5 +1,6 @@
 package org.bramleytrestle.serving
 
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 
 /** A request in flight, as the watchdog sees it. */
@@ -10,8 +11,7 @@
     @Volatile
     private var exchange: ServerExchange? = null
 
-    @Volatile
-    private var stallNanos = Long.MAX_VALUE
+    private val stallNanos = AtomicLong(Long.MAX_VALUE)
 
     @Volatile
     private var mayEnd: () -> Boolean = { true }
@@ -24,7 +24,7 @@
     /**
      * Watches [exchange], which is ended after [patience] without [progress].
      *
-     * @param mayEnd asked once before silence ends the exchange; false lets it go on.
+     * @param mayEnd asked before silence ends the exchange; false lets it go on for a while.
      */
     @Synchronized
     public fun arm(
@@ -40,11 +40,9 @@
     }
 
     public fun progress(nowNanos: Long, patience: Duration?) {
-        stallNanos = if (patience == null) {
-            Long.MAX_VALUE
-        } else {
-            nowNanos + patience.inWholeNanoseconds
-        }
+        stallNanos.set(
+            if (patience == null) Long.MAX_VALUE else nowNanos + patience.inWholeNanoseconds
+        )
     }
 
     @Synchronized
@@ -53,14 +51,15 @@
     }
 
     internal fun check(nowNanos: Long) {
+        val stall = stallNanos.get()
         val found = when {
             nowNanos - deadlineNanos >= 0 -> CancelCause.DEADLINE
             departed() -> CancelCause.DEPARTED
-            stallNanos != Long.MAX_VALUE && nowNanos - stallNanos >= 0 -> CancelCause.STALLED
+            stall != Long.MAX_VALUE && nowNanos - stall >= 0 -> CancelCause.STALLED
             else -> return
         }
         if (found == CancelCause.STALLED && !mayEnd()) {
-            stallNanos = Long.MAX_VALUE
+            stallNanos.compareAndSet(stall, nowNanos + ASK_AGAIN_NANOS)
             return
         }
         cancel(found)
@@ -73,4 +72,9 @@
         cause = found
         current.cancel()
     }
+
+    private companion object {
+        /** Time in which room elsewhere or for a repeat may appear. */
+        const val ASK_AGAIN_NANOS = 100_000_000L
+    }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
@@ -82,7 +82,7 @@
             val used = candidate.load.estimate(at) / candidate.capacity
             val cost = used + candidate.fixedCost
             if (cost < bestCost || sound && !bestSound) {
-                best = ChainChoice(chain, used)
+                best = ChainChoice(chain, used, sound)
                 bestSound = sound
                 bestCost = cost
             }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -21,12 +21,13 @@
     private val eventWaits = WaitEstimate(LONGEST_EVENT_WAIT, now)
 
     /**
-     * What the caller got of the stream, the chains that were sent the request, and those of them
-     * on which it broke off.
+     * What the caller got of the stream, the chains that were sent the request, those of them
+     * on which it broke off, and the first servers of those that fell silent.
      */
     private class Progress(task: RequestTask, val attempts: Attempts) {
         val tried = mutableSetOf<String>()
         val broken = mutableSetOf<String>()
+        val silent = mutableSetOf<String>()
         var lastEvent = task.request.lastEvent
         var begun = false
     }
@@ -66,7 +67,9 @@
         while (true) {
             val again = progress.begun && now().since(since) >= REFUSED_AGAIN
             val avoided = if (again) progress.broken else progress.tried
-            val choice = selector.chain(task.service, avoided, attempts::allows)
+            val choice = selector.chain(task.service, avoided) { first ->
+                attempts.allows(first) && (again || first.id !in progress.silent)
+            }
             val waits = when {
                 choice == null -> progress.begun
                 progress.begun || choice.used <= FULL -> return choice
@@ -107,9 +110,12 @@
             val patience = firstWaits.limit(SHORTEST_FIRST_WAIT)
                 .takeIf { task.route.resumable && !attempts.last }
             // Many streams of a chain stall together, so each must be sure of its repeat first.
-            active.arm(exchange, sentAt.steadyNanos, patience, attempts::payAhead)
+            active.arm(exchange, sentAt.steadyNanos, patience) {
+                hasRoomElsewhere(task, chain, progress) && attempts.payAhead()
+            }
             val answer = exchange.await()
-            if (answer is ServerReply.Events) firstWaits.add(now().since(sentAt))
+            val silent = active.cause == CancelCause.STALLED
+            if (answer is ServerReply.Events || silent) firstWaits.add(now().since(sentAt))
             attempts.ended(chain.first, answer)
             return settle(task, answer, chain, progress, active)
         } finally {
@@ -166,6 +172,7 @@
         active: ActiveRequest
     ): RequestOutcome? {
         var count = 0
+        var askedAt = now()
         var longest = Duration.ZERO
         try {
             if (!progress.begun) {
@@ -174,7 +181,7 @@
             }
             while (true) {
                 // The time in which the caller takes an event is not the server's silence.
-                val askedAt = now()
+                askedAt = now()
                 val patience = eventWaits.limit(timeToRepair(task.route))
                     .takeIf { mayRepair(task, progress.attempts) }
                 active.progress(askedAt.steadyNanos, patience)
@@ -192,14 +199,10 @@
             task.trace.result("caller left after $count events")
             throw e
         } catch (e: IOException) {
-            val goesOn =
-                brokenOff(
-                    task,
-                    chain,
-                    progress,
-                    active,
-                    "$e after $count events, longest pause $longest"
-                )
+            // A wait that was cut short counts too, or load would never raise the limit.
+            if (active.cause == CancelCause.STALLED) eventWaits.add(now().since(askedAt))
+            val reason = "$e after $count events, longest pause $longest"
+            val goesOn = brokenOff(task, chain, progress, active, reason)
             return if (goesOn) null else finish(task, progress)
         }
         selector.load(chain.first).succeeded()
@@ -224,6 +227,17 @@
     private fun mayRepair(task: RequestTask, attempts: Attempts) = task.route.resumable &&
         attempts.mayReachMore && budgets.allowsRetry(task.service.name)
 
+    /**
+     * Whether a chain behind another server has room. Load pattern: one chain left of several is
+     * slow because all streams are on it, and moving them between its servers slows it further.
+     */
+    private fun hasRoomElsewhere(task: RequestTask, chain: Chain, progress: Progress): Boolean {
+        val choice = selector.chain(task.service, progress.tried) { first ->
+            first.id != chain.first.id && progress.attempts.allows(first)
+        }
+        return choice != null && choice.sound && choice.used <= FULL
+    }
+
     /** Silence after which another chain's first event still comes within the usual pause. */
     private fun timeToRepair(route: Route): Duration {
         val first = firstWaits.mean ?: return LONGEST_EVENT_WAIT
@@ -245,7 +259,10 @@
         progress.attempts.lastReason = reason
         when (cause) {
             null -> selector.chainFailed(chain)
-            CancelCause.STALLED -> stalls.stalled(chain)
+            CancelCause.STALLED -> {
+                progress.silent += chain.first.id
+                stalls.stalled(chain)
+            }
             CancelCause.DEADLINE, CancelCause.DEPARTED -> Unit
         }
         return task.route.resumable && (cause == null || cause == CancelCause.STALLED)
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -136,41 +136,62 @@
         }
     }
 
-    @Test
-    fun `silence ends an exchange only while another chain could take over`() {
-        data class Silence(val allowed: Int, val slack: Int, val cancelled: Boolean)
-        val cases = listOf(Silence(2, 10, true), Silence(1, 10, false), Silence(2, 0, false))
-        for ((allowed, slack, cancelled) in cases) {
-            val clock = FakeClock()
-            val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
-            selector.update(Fleet(servers))
-            val watchdog = Watchdog(clock::now)
-            val client = SilentClient {
-                clock.advance(1.5.seconds)
-                watchdog.check()
-            }
-            val stalls = StallInspector(selector, { null }, { _, task -> task() }, clock::now)
-            val budgets = RetryBudgets(0.0, slack, { 1.0 })
-            StreamExecutor(
-                selector,
-                client,
-                budgets,
-                watchdog,
-                stalls,
-                clock::now,
-                clock::advance
-            ).run(
-                RequestTask(
-                    request(at = clock.now()),
-                    RecordedReply(),
-                    route(RequestKind.STREAM, servers = allowed, resumable = true),
-                    BackendService("model", model.copy(layerMegabytes = 500.0)),
-                    null,
-                    20.seconds,
-                    RequestTrace("r1", 1, null)
-                )
-            )
-            assertEquals(cancelled, client.ended, "$allowed servers, budget $slack")
+    private data class Silence(
+        val name: String,
+        val cancelled: Boolean,
+        val allowed: Int = 2,
+        val slack: Int = 10,
+        val otherLoad: Int = 0,
+        val centres: List<String> = listOf("a", "b")
+    )
+
+    private fun endsSilence(case: Silence): Boolean {
+        val clock = FakeClock()
+        val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
+        val known = servers.filter { it.dataCentre in case.centres }
+        selector.update(Fleet(known))
+        val watchdog = Watchdog(clock::now)
+        val client = SilentClient {
+            clock.advance(1.5.seconds)
+            known.filter { it.id == "b-1" }
+                .forEach { selector.load(it).reported(case.otherLoad, 0) }
+            watchdog.check()
         }
+        val stalls = StallInspector(selector, { null }, { _, task -> task() }, clock::now)
+        val budgets = RetryBudgets(0.0, case.slack, { 1.0 })
+        val executor = StreamExecutor(
+            selector,
+            client,
+            budgets,
+            watchdog,
+            stalls,
+            clock::now,
+            clock::advance
+        )
+        executor.run(
+            RequestTask(
+                request(at = clock.now()),
+                RecordedReply(),
+                route(RequestKind.STREAM, servers = case.allowed, resumable = true),
+                BackendService("model", model.copy(layerMegabytes = 500.0)),
+                null,
+                20.seconds,
+                RequestTrace("r1", 1, null)
+            )
+        )
+        return client.ended
+    }
+
+    // Guards against streams of the last chain that are broken off because it is slow under load.
+    @Test
+    fun `silence ends an exchange only while a chain behind another server could take over`() {
+        val cases = listOf(
+            Silence("another chain has room", cancelled = true),
+            Silence("no server is left", cancelled = false, allowed = 1),
+            Silence("no repeat is left", cancelled = false, slack = 0),
+            Silence("the other chain is full", cancelled = false, otherLoad = 200),
+            Silence("there is no other chain", cancelled = false, centres = listOf("a"))
+        )
+        for (case in cases) assertEquals(case.cancelled, endsSilence(case), case.name)
     }
 }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/WatchdogTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/WatchdogTest.kt
@@ -30,4 +30,32 @@
         repeat(3) { watchdog.check() }
         assertEquals(3, ended)
     }
+
+    // Guards against a silent stream that stays where it is after room appeared elsewhere.
+    @Test
+    fun `silence is looked at again until it may end the exchange`() {
+        val clock = FakeClock()
+        val watchdog = Watchdog(clock::now)
+        var ended = 0
+        var room = false
+        val exchange = object : ServerExchange {
+            override fun await() = error("not used")
+
+            override fun cancel() {
+                ended++
+            }
+
+            override fun close() = Unit
+        }
+        val deadline = clock.now().steadyNanos + 10.seconds.inWholeNanoseconds
+        watchdog.watch(deadline) { false }
+            .arm(exchange, clock.now().steadyNanos, 100.milliseconds) { room }
+        clock.advance(150.milliseconds)
+        watchdog.check()
+        assertEquals(0, ended)
+        room = true
+        clock.advance(150.milliseconds)
+        watchdog.check()
+        assertEquals(1, ended)
+    }
 }
