--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
@@ -51,8 +51,8 @@
     }
 
     /**
-     * The chain with the most room whose first server is in [allowed], or null if there is none.
-     * Chains that failed or that are in [tried] only stand in for a request's first choice.
+     * The chain with the most room outside [tried] whose first server is [allowed], or null if there
+     * is none. Chains that failed lately are chosen only for want of others.
      */
     public fun chain(
         service: BackendService,
@@ -62,13 +62,8 @@
         val current = view.get()
         val model = service.model ?: return null
         val servers = current.fleet.ready[service.name].orEmpty()
-        val candidates = candidates(
-            current,
-            service.name,
-            model,
-            servers,
-            loads.avoided(current.fleet, service.name)
-        )
+        val failed = loads.avoided(current.fleet, service.name)
+        val candidates = candidates(current, service.name, model, servers, failed)
             .ifEmpty { candidates(current, service.name, model, servers, emptySet()) }
         val at = now()
         var best: ChainChoice? = null
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/WatchdogTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/WatchdogTest.kt
@@ -6,6 +6,14 @@
 import kotlin.time.Duration.Companion.seconds
 
 class WatchdogTest {
+    private fun exchange(onCancel: () -> Unit) = object : ServerExchange {
+        override fun await() = error("not used")
+
+        override fun cancel() = onCancel()
+
+        override fun close() = Unit
+    }
+
     @Test
     fun `streams that stall together end only as far as the retry budget reaches`() {
         val clock = FakeClock()
@@ -13,15 +21,7 @@
         var ended = 0
         var left = 3
         repeat(5) {
-            val exchange = object : ServerExchange {
-                override fun await() = error("not used")
-
-                override fun cancel() {
-                    ended++
-                }
-
-                override fun close() = Unit
-            }
+            val exchange = exchange { ended++ }
             val deadline = clock.now().steadyNanos + 10.seconds.inWholeNanoseconds
             watchdog.watch(deadline) { false }
                 .arm(exchange, clock.now().steadyNanos, 100.milliseconds) { left-- > 0 }
@@ -38,15 +38,7 @@
         val watchdog = Watchdog(clock::now)
         var ended = 0
         var room = false
-        val exchange = object : ServerExchange {
-            override fun await() = error("not used")
-
-            override fun cancel() {
-                ended++
-            }
-
-            override fun close() = Unit
-        }
+        val exchange = exchange { ended++ }
         val deadline = clock.now().steadyNanos + 10.seconds.inWholeNanoseconds
         watchdog.watch(deadline) { false }
             .arm(exchange, clock.now().steadyNanos, 100.milliseconds) { room }
