Make a killed stand-in refuse connections once kill() returns

Closing Jetty's connector does not close the port at once: while the acceptor thread is still in its call, the kernel accepts connections, and the next caller takes the killed engine for a silent or broken one.

Ruled out: the backend module, which did not change; the tests' bounds and expectations, which stay. Change: kill() waits until a connection is refused. First try, without the reset that a closing port may answer with: kill() threw once in 1,500.

--- a/standins/src/main/kotlin/org/bramleytrestle/standins/HttpStandin.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/HttpStandin.kt
@@ -4,6 +4,9 @@
 import io.javalin.config.RoutesConfig
 import io.javalin.http.Context
 import java.io.Closeable
+import java.net.ConnectException
+import java.net.Socket
+import java.net.SocketException
 import java.util.concurrent.CompletableFuture
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -91,12 +94,31 @@
      */
     fun kill() {
         connector.close()
+        awaitRefusal()
         connector.connectedEndPoints.forEach { (it.transport as? Closeable)?.close() }
         scope.cancel()
         Thread { javalin.stop() }.apply { isDaemon = true }.start()
     }
 
+    /** The port accepts connections until Jetty's acceptor thread has left its call. */
+    private fun awaitRefusal() {
+        repeat(MAX_PROBES) {
+            try {
+                Socket(LOOPBACK, port).close()
+            } catch (_: ConnectException) {
+                return
+            } catch (_: SocketException) {
+                // Reset while the port closes; the next connection tells whether it has.
+            }
+            Thread.sleep(PROBE_PAUSE_MILLIS)
+        }
+        error("port $port: expected no listener after the kill")
+    }
+
     private companion object {
+        /** Together 2 s, far above the time in which a busy machine runs the acceptor. */
+        const val MAX_PROBES = 1_000
+        const val PROBE_PAUSE_MILLIS = 2L
         const val LOOPBACK = "127.0.0.1"
         const val MAX_BODY_BYTES = 16L * 1024 * 1024
         const val MAX_THREADS = 24
