Ask the repeat budget once per silence, keep a failed answer in one place

From a second reading of the change: - StreamExecutor asked the repeat budget before every event, which grouped all members each time; the end of a silence asks it anyway. mayRepair and both allowsRetry are gone.

Not touched: ObjectsClient and HttpObjectStore, which share StoreHttp and speak two protocols; StoreHttp's WriteProgress, OnceBody and Retry-After interceptor, twins of SendRecord, OneShotBody and RetryAfterGuard in backend, which store does not depend on.

--- a/routing/src/main/kotlin/org/bramleytrestle/routing/RetryBudget.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/RetryBudget.kt
@@ -28,19 +28,12 @@
         return true
     }
 
-    /** Whether [tryRetry] would succeed now. */
-    @Synchronized
-    public fun allowsRetry(fraction: Double, floor: Int = FLOOR): Boolean {
-        slot()
-        return retries.sum() < firsts.sum() * fraction + floor
-    }
-
     /**
      * Allows the resumption of a stream. It draws on its own budget, so that retries of new work
      * cannot exhaust it: each running stream and each first attempt allows one resumption.
      */
     @Synchronized
-    public fun tryRecovery(running: Int): Boolean {
+    internal fun tryRecovery(running: Int): Boolean {
         val slot = slot()
         if (recoveries.sum() >= firsts.sum() + running + FLOOR) return false
         recoveries[slot]++
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/Attempts.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Attempts.kt
@@ -1,5 +1,6 @@
 package org.bramleytrestle.serving
 
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.nanoseconds
 import org.bramleytrestle.model.ErrorKind
@@ -17,7 +18,8 @@
     private val leastTime: Duration,
     private val now: () -> Moment
 ) {
-    private val servers = mutableSetOf<String>()
+    /** Read by the watchdog as well, which asks what a silent exchange may still do. */
+    private val servers: MutableSet<String> = ConcurrentHashMap.newKeySet()
     private var sends = 0
     private var unreached = 0
 
@@ -29,8 +31,7 @@
         private set
 
     /** A server's own error, which the caller gets if no other attempt succeeds. */
-    var failedAnswer: ServerReply.Whole? = null
-        private set
+    private var failedAnswer: ServerReply.Whole? = null
     var lastReason = "no server is ready"
 
     val left: Duration get() = (task.deadlineNanos - now().steadyNanos).nanoseconds
@@ -72,16 +73,15 @@
         when (answer) {
             is ServerReply.NotRun -> lastReason = answer.reason
             is ServerReply.Broken -> lastReason = answer.reason
-            is ServerReply.Whole -> lastReason = "server answered ${answer.status}"
+            is ServerReply.Whole -> {
+                lastReason = "server answered ${answer.status}"
+                if (answer.failed && task.route.repeatable) failedAnswer = answer
+            }
             is ServerReply.Events -> failedAnswer = null
         }
         if (answer !is ServerReply.NotRun) mayHaveRun = true
     }
 
-    fun keepFailure(answer: ServerReply.Whole) {
-        failedAnswer = answer
-    }
-
     val failureKind: ErrorKind
         get() {
             val late = active.cause == CancelCause.DEADLINE || left <= leastTime
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
@@ -84,7 +84,6 @@
                 task.trace.result("status ${answer.status}")
                 if (answer.failed && task.route.repeatable) {
                     load.failed()
-                    attempts.keepFailure(answer)
                     return null
                 }
                 load.succeeded()
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RetryBudgets.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RetryBudgets.kt
@@ -22,13 +22,8 @@
 
     public fun countFirst(service: String): Unit = of(service).countFirst()
 
-    public fun tryRetry(service: String): Boolean = of(service).tryRetry(ratio * SAFETY, floor())
-
-    /** Whether a repeat would be allowed now. */
-    public fun allowsRetry(service: String): Boolean =
-        of(service).allowsRetry(ratio * SAFETY, floor())
-
-    private fun floor() = (slack * SAFETY * share()).toInt()
+    public fun tryRetry(service: String): Boolean =
+        of(service).tryRetry(ratio * SAFETY, floor = (slack * SAFETY * share()).toInt())
 
     private fun of(service: String) = budgets.computeIfAbsent(service) { RetryBudget(clock) }
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -1,6 +1,7 @@
 package org.bramleytrestle.serving
 
 import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -25,7 +26,8 @@
      * on which it broke off, and the first servers of those that fell silent.
      */
     private class Progress(task: RequestTask, val attempts: Attempts) {
-        val tried = mutableSetOf<String>()
+        /** Read by the watchdog as well. */
+        val tried: MutableSet<String> = ConcurrentHashMap.newKeySet()
         val broken = mutableSetOf<String>()
         val silent = mutableSetOf<String>()
         var lastEvent = task.request.lastEvent
@@ -135,11 +137,7 @@
         when (answer) {
             is ServerReply.Whole -> {
                 task.trace.result("status ${answer.status}")
-                if (progress.begun) return null
-                if (answer.failed && task.route.repeatable) {
-                    progress.attempts.keepFailure(answer)
-                    return null
-                }
+                if (progress.begun || answer.failed && task.route.repeatable) return null
                 task.reply.answer(answer)
                 return RequestOutcome.answered("status ${answer.status}")
             }
@@ -183,7 +181,7 @@
                 // The time in which the caller takes an event is not the server's silence.
                 askedAt = now()
                 val patience = eventWaits.limit(timeToRepair(task.route))
-                    .takeIf { mayRepair(task, progress.attempts) }
+                    .takeIf { task.route.resumable && progress.attempts.mayReachMore }
                 active.progress(askedAt.steadyNanos, patience)
                 val event = events.next() ?: break
                 val wait = now().since(askedAt)
@@ -220,13 +218,6 @@
         return true
     }
 
-    /**
-     * Whether another chain could take over. Otherwise the present one is waited for, as callers
-     * wait far longer than it takes to notice an unusual silence.
-     */
-    private fun mayRepair(task: RequestTask, attempts: Attempts) = task.route.resumable &&
-        attempts.mayReachMore && budgets.allowsRetry(task.service.name)
-
     /**
      * Whether a chain behind another server has room. Load pattern: one chain left of several is
      * slow because all streams are on it, and moving them between its servers slows it further.
--- a/store/src/main/kotlin/org/bramleytrestle/store/Lease.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/Lease.kt
@@ -77,8 +77,12 @@
     ): Nothing {
         var holding = false
         while (true) {
-            if (eligible()) acquireOrRenew() else release()
-            if (!eligible() && standsBy()) follow()
+            if (eligible()) {
+                acquireOrRenew()
+            } else {
+                release()
+                if (standsBy()) follow()
+            }
             val holds = remaining > Duration.ZERO
             if (holds != holding) {
                 holding = holds
