Place layers as interchangeable copies and keep them over a crash

Cause: the planner split a data centre's servers into copies by their memory at that moment. When servers that stand together crashed, the split changed, the held ranges of every new group had gaps, and after 4 s the whole data centre was planned from scratch, which interrupts its streams.

Ruled out: too little memory for the load.

Change: copies are filled one after another, fastest accelerators first; what servers hold is kept; empty servers get the layers with the fewest holders; gaps are closed by extension and then by servers whose layers are all held elsewhere. Orders run concurrently, per service, and wait only for the first fleet. Chains that share no server are found first; the choice among chains of nearly the same cost is random.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ChainFinder.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ChainFinder.kt
@@ -7,8 +7,9 @@
  *
  * The cost of a path is its time per token, because that time determines how many requests a chain
  * can serve. Slow accelerators, hops and especially hops between data centres are therefore
- * expensive. Servers of chains that were already found cost more in the next search, so that the
- * resulting chains share few servers.
+ * expensive. The first searches find chains that share no server, so that the failure of a server
+ * affects one of them. While there are few, further searches may use servers again at a higher
+ * cost.
  */
 public class ChainFinder(private val model: ModelProfile) {
     /** Cheapest known path to a layer boundary; [server] runs the layers starting at [from]. */
@@ -17,7 +18,11 @@
         val server: BackendServer?,
         val from: Int,
         val previous: Path?
-    )
+    ) {
+        /** A server can run only one stage of a request. */
+        fun uses(candidate: BackendServer): Boolean =
+            generateSequence(this) { it.previous }.any { it.server === candidate }
+    }
 
     /** Distinct chains over [servers]; chains within one data centre come first. */
     public fun find(servers: List<BackendServer>): List<Chain> {
@@ -34,12 +39,23 @@
     }
 
     private fun findDiverseChains(servers: List<BackendServer>): List<Chain> {
-        val useCounts = mutableMapOf<String, Int>()
         val found = LinkedHashMap<String, Chain>()
-        repeat(SEARCHES) {
+        var unused = servers
+        while (found.size < MAX_DISJOINT_CHAINS) {
+            val chain = findCheapestChain(unused, emptyMap()) ?: break
+            found[chain.label] = chain
+            val used = chain.stages.mapTo(mutableSetOf()) { it.server.id }
+            unused = unused.filter { it.id !in used }
+        }
+        val useCounts = mutableMapOf<String, Int>()
+        val countUses = { chain: Chain ->
+            for (stage in chain.stages) useCounts.merge(stage.server.id, 1, Int::plus)
+        }
+        found.values.forEach(countUses)
+        repeat(MIN_SEARCHES - found.size) {
             val chain = findCheapestChain(servers, useCounts) ?: return found.values.toList()
             found.putIfAbsent(chain.label, chain)
-            for (stage in chain.stages) useCounts.merge(stage.server.id, 1, Int::plus)
+            countUses(chain)
         }
         return found.values.toList()
     }
@@ -62,6 +78,7 @@
                     val uses = useCounts[server.id] ?: 0
                     val own = stepMillis(server, end - position) * (1 + REUSE_PENALTY * uses)
                     for (path in reached) {
+                        if (path.uses(server)) continue
                         val cost = path.cost + own + hopMillis(path.server, server)
                         val known = best[end][server.dataCentre]
                         if (known == null || cost < known.cost) {
@@ -85,8 +102,6 @@
             until = path.from
             path = path.previous ?: break
         }
-        // A server can run only one stage of a request.
-        if (stages.distinctBy { it.server.id }.size != stages.size) return null
         if (stages.size > MAX_STAGES) return null
         val time = stages.sumOf { stepMillis(it.server, it.layers.size) } +
             stages.zipWithNext { a, b -> hopMillis(a.server, b.server) }.sum()
@@ -112,7 +127,10 @@
     }
 
     private companion object {
-        const val SEARCHES = 4
+        const val MIN_SEARCHES = 4
+
+        /** More than the largest data centre's memory can hold copies. */
+        const val MAX_DISJOINT_CHAINS = 12
 
         /** Longest chain that servers accept. */
         const val MAX_STAGES = 32
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/LayerPlanner.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/LayerPlanner.kt
@@ -8,11 +8,17 @@
  *
  * Every token crosses every layer, and links between data centres carry far less than one crossing
  * per request needs. Each data centre with enough memory therefore holds the whole model; the
- * servers of the other data centres form groups that span data centres.
+ * servers of the other data centres form one group that spans data centres.
  *
- * A plan keeps what servers hold already, because a load takes seconds and is billed: idle servers
- * fill gaps first, then servers next to a gap extend their range, and only a group that still has
- * gaps is planned from scratch.
+ * A group holds as many copies of the model as its memory allows. The fastest accelerators form
+ * the first copy, because a short chain of fast servers has the fewest streams in flight and is the
+ * least likely to contain a server that fails. A chain may cross from one copy to another at any
+ * layer, so layers that are held several times replace each other without a load of weights.
+ *
+ * A plan keeps what servers hold already, because a load takes seconds and is billed. Empty servers
+ * get the layers that fewest servers hold. For layers that no server holds, servers next to the gap
+ * extend their range, then servers whose layers are all held elsewhere move. Only a group that
+ * still has gaps is planned from scratch.
  */
 public class LayerPlanner(private val model: ModelProfile) {
     private val layerCount = model.layers
@@ -39,7 +45,7 @@
         val (complete, partial) = centres.partition {
             layerCapacity(it, minTokens) >= layerCount
         }
-        val groups = complete.flatMap(::split).toMutableList()
+        val groups = complete.toMutableList()
         val rest = partial.flatten()
         when {
             rest.isEmpty() -> Unit
@@ -49,71 +55,90 @@
         return groups
     }
 
-    /** Splits a group that can hold several copies, spreading accelerators of a kind evenly. */
-    private fun split(group: List<PlacedServer>): List<List<PlacedServer>> {
-        val copies =
-            group.sumOf { it.megabytes } / (layerCount * model.layerMegabytes * MEMORY_PER_COPY)
-        val count = copies.toInt()
-        if (count <= 1) return listOf(group)
-        val parts = List(count) { mutableListOf<PlacedServer>() }
-        group.sortedByDescending { it.megabytes }.forEach { server ->
-            parts.minBy { part -> part.sumOf { it.megabytes } } += server
-        }
-        val allComplete = parts.all { layerCapacity(it, minTokens) >= layerCount }
-        return if (allComplete) parts else listOf(group)
-    }
-
     private fun planGroup(group: List<PlacedServer>, mayReplace: Boolean): Map<String, LayerRange> {
         val held = group.mapNotNull { server -> server.held?.let { server.id to it } }.toMap()
         if (held.isEmpty()) return planFromScratch(group)
-        val tokens = maxOf(minTokens, maxTokensPerServer(group) * REPAIR_TOKEN_SHARE)
-        val repaired = extendIntoGaps(group, fillFromIdle(group, held, tokens), tokens)
+        val tokens = tokensPerServer(group)
+        val filled = fillIdle(group, held, tokens)
+        val minimum = maxOf(minTokens, tokens * REPAIR_TOKEN_SHARE)
+        val extended = extendIntoGaps(group, filled, minimum)
+        val repaired = moveRedundant(group, extended, minimum)
         val keep = gaps(repaired.values).isEmpty() || !mayReplace
         return if (keep) repaired else planFromScratch(group).ifEmpty { repaired }
     }
 
     /**
-     * Plans for empty servers: fast accelerators first, each with cache space for the same number
-     * of tokens.
+     * Plans for empty servers: copies one after another, fast accelerators first. The servers left
+     * over after the last whole copy hold its first layers once more.
      */
     private fun planFromScratch(group: List<PlacedServer>): Map<String, LayerRange> {
-        val tokens = maxTokensPerServer(group) * MAX_TOKENS_SHARE
-        val plan = mutableMapOf<String, LayerRange>()
-        val chosen = mutableListOf<Pair<PlacedServer, Int>>()
+        val tokens = tokensPerServer(group)
+        val byPreference = group.sortedWith(BY_SPEED)
+        val copies = mutableListOf<List<Pair<PlacedServer, Int>>>()
+        var copy = mutableListOf<Pair<PlacedServer, Int>>()
         var missing = layerCount
-        val byPreference =
-            group.sortedWith(compareBy({ it.stepTimeFactor }, { -it.megabytes }, { it.id }))
         for (server in byPreference) {
             val count = minOf(missing, layerCapacity(server, tokens))
             if (count <= 0) continue
-            chosen += server to count
+            copy += server to count
             missing -= count
+            if (missing == 0) {
+                copies += copy
+                copy = mutableListOf()
+                missing = layerCount
+            }
         }
-        if (missing > 0) return emptyMap()
-        var next = 0
-        for ((server, count) in chosen.sortedBy { it.first.dataCentre }) {
-            plan[server.id] = LayerRange(next, next + count)
-            next += count
+        if (copies.isEmpty()) return emptyMap()
+        val plan = mutableMapOf<String, LayerRange>()
+        for (members in copies) {
+            var next = 0
+            for ((server, count) in members.sortedBy { it.first.dataCentre }) {
+                plan[server.id] = LayerRange(next, next + count)
+                next += count
+            }
         }
-        return plan
+        return fillIdle(group, plan, tokens)
     }
 
-    private fun fillFromIdle(
+    /** Gives each server without layers the range whose layers fewest servers hold. */
+    private fun fillIdle(
         group: List<PlacedServer>,
         held: Map<String, LayerRange>,
         tokens: Double
     ): Map<String, LayerRange> {
         val plan = held.toMutableMap()
-        val idle = group.filter { it.id !in held }
-            .sortedWith(compareBy({ it.stepTimeFactor }, { -it.megabytes }))
-        for (server in idle) {
-            val gap = gaps(plan.values).firstOrNull() ?: break
-            val count = minOf(gap.size, layerCapacity(server, tokens))
-            if (count > 0) plan[server.id] = LayerRange(gap.from, gap.from + count)
+        val holders = holdersPerLayer(held.values)
+        for (server in group.filter { it.id !in held }.sortedWith(BY_SPEED)) {
+            val count = layerCapacity(server, tokens)
+            if (count <= 0) continue
+            val range = scarcestRange(plan.values, holders, count)
+            plan[server.id] = range
+            for (layer in range.from until range.until) holders[layer]++
         }
         return plan
     }
 
+    /**
+     * The range of [count] layers with the fewest holders. It starts or ends where another range
+     * does, so that chains can switch between the two holders of a layer there.
+     */
+    private fun scarcestRange(
+        ranges: Collection<LayerRange>,
+        holders: IntArray,
+        count: Int
+    ): LayerRange {
+        val boundaries = ranges.flatMap { listOf(it.from, it.until) } + listOf(0, layerCount)
+        return boundaries.flatMap { listOf(it, it - count) }
+            .map { it.coerceIn(0, layerCount - count) }
+            .distinct()
+            .map { LayerRange(it, it + count) }
+            .minWith(compareByDescending<LayerRange> { needFor(it, holders) }.thenBy { it.from })
+    }
+
+    /** Weighs layers by how few servers hold them; one without a holder outweighs all others. */
+    private fun needFor(range: LayerRange, holders: IntArray): Double =
+        (range.from until range.until).sumOf { 1.0 / (1 + holders[it] * layerCount) }
+
     private fun extendIntoGaps(
         group: List<PlacedServer>,
         held: Map<String, LayerRange>,
@@ -139,6 +164,34 @@
         return plan
     }
 
+    /** Moves servers whose layers are all held elsewhere into the gaps, slow ones first. */
+    private fun moveRedundant(
+        group: List<PlacedServer>,
+        held: Map<String, LayerRange>,
+        tokens: Double
+    ): Map<String, LayerRange> {
+        val plan = held.toMutableMap()
+        while (true) {
+            val gap = gaps(plan.values).firstOrNull() ?: return plan
+            val holders = holdersPerLayer(plan.values)
+            val server = group.sortedWith(BY_SPEED.reversed()).firstOrNull { candidate ->
+                val range = plan[candidate.id]
+                range != null && layerCapacity(candidate, tokens) > 0 &&
+                    (range.from until range.until).all { holders[it] > 1 }
+            } ?: return plan
+            val count = minOf(gap.size, layerCapacity(server, tokens))
+            plan[server.id] = LayerRange(gap.from, gap.from + count)
+        }
+    }
+
+    private fun holdersPerLayer(ranges: Collection<LayerRange>): IntArray {
+        val holders = IntArray(layerCount)
+        for (range in ranges) {
+            for (layer in range.from until minOf(range.until, layerCount)) holders[layer]++
+        }
+        return holders
+    }
+
     private fun rangeOrNull(from: Int, until: Int) =
         if (from < until) LayerRange(from, until) else null
 
@@ -163,6 +216,20 @@
     private fun layerCapacity(group: List<PlacedServer>, tokens: Double) =
         group.sumOf { layerCapacity(it, tokens) }
 
+    /**
+     * Number of cached tokens for which servers keep memory. In a group with enough memory it is
+     * [TARGET_REQUESTS] of average size, or a little less if more layers fit that way.
+     */
+    private fun tokensPerServer(group: List<PlacedServer>): Double {
+        val target = model.meanTokens * TARGET_REQUESTS
+        val most = maxTokensPerServer(group) * MAX_TOKENS_SHARE
+        if (most <= target) return most
+        val candidates = List(TOKEN_CANDIDATES) { target * (1 - it * TOKEN_CANDIDATE_STEP) }
+        return candidates.maxBy { tokens ->
+            layerCapacity(group, tokens) * (model.layerMegabytes + tokens * cachePerLayer)
+        }
+    }
+
     /** Largest number of cached tokens per server with which [group] still holds all layers. */
     private fun maxTokensPerServer(group: List<PlacedServer>): Double {
         var low = 0.0
@@ -174,11 +241,23 @@
         return low
     }
 
+    private val cachePerLayer get() = model.cacheMegabytesPerLayer
+
     private val minTokens get() = model.meanTokens * MIN_REQUESTS
 
     private companion object {
-        /** Memory per copy in multiples of the weights, which leaves 0.8 for request caches. */
-        const val MEMORY_PER_COPY = 1.8
+        val BY_SPEED: Comparator<PlacedServer> =
+            compareBy({ it.stepTimeFactor }, { -it.megabytes }, { it.id })
+
+        /**
+         * Concurrent requests for which a copy keeps memory. More of them on one chain would slow
+         * each other below the pace that readers accept; the memory serves further copies instead.
+         */
+        const val TARGET_REQUESTS = 125.0
+
+        /** Candidates down to 85% of the target, whose rounding losses are compared. */
+        const val TOKEN_CANDIDATES = 6
+        const val TOKEN_CANDIDATE_STEP = 0.03
 
         /**
          * Share of the largest possible cache that a new plan provides. The rest of the memory lets
@@ -190,8 +269,8 @@
         const val MIN_REQUESTS = 12.0
 
         /**
-         * Share of the largest possible cache that a repaired plan keeps. If gaps remain with it,
-         * the group may be planned from scratch.
+         * Share of the planned cache that a repaired plan keeps. If gaps remain with it, the group
+         * may be planned from scratch.
          */
         const val REPAIR_TOKEN_SHARE = 0.6
         const val SEARCH_STEPS = 40
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlacementController.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlacementController.kt
@@ -1,6 +1,7 @@
 package org.bramleytrestle.serving
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -15,82 +16,110 @@
  * arrives late, after a newer one, has no effect.
  *
  * @param holdsLease whether the lease is valid long enough for one more order.
+ * @param runAll runs the given calls to servers, in any order or concurrently, and returns when
+ * all have ended.
  */
 public class PlacementController(
     private val orders: PlacementOrders,
     private val holdsLease: () -> Boolean,
-    private val now: () -> Moment = Moment::now
+    private val now: () -> Moment = Moment::now,
+    private val runAll: (List<() -> Unit>) -> Unit = { calls -> calls.forEach { it() } }
 ) {
     private data class Incarnation(val id: String, val bornMillis: Long)
 
     private class SentOrder(val layers: LayerRange, val at: Moment, val timeout: Duration)
 
-    private val sentOrders = HashMap<Incarnation, SentOrder>()
-    private val begunOrders = HashMap<Incarnation, Long>()
-    private var observed = emptySet<Incarnation>()
-    private var observedSince: Moment? = null
-    private var incompleteSince: Moment? = null
+    private class Outcome(val expected: Long?, val result: PlacementOutcome)
+
+    /** What is known of the servers of one service. */
+    private class ServiceState {
+        val sentOrders = HashMap<Incarnation, SentOrder>()
+        val begunOrders = HashMap<Incarnation, Long>()
+        var observed = emptySet<Incarnation>()
+        var observedSince: Moment? = null
+        var incompleteSince: Moment? = null
+    }
+
+    private val states = HashMap<String, ServiceState>()
 
     /** Sends the orders that [fleet] needs now. */
     public fun step(fleet: Fleet, config: RoutingConfig) {
+        states.keys.retainAll(config.services.keys)
         for (service in config.services.values) {
             val model = service.model?.takeIf { it.layers > 0 } ?: continue
             val servers = fleet.ready[service.name].orEmpty().filter { it.card in model.cards }
-            if (isStable(servers)) place(servers, model)
+            val state = states.getOrPut(service.name) { ServiceState() }
+            if (isObservable(state, servers)) place(state, servers, model)
         }
     }
 
-    /** Waits until servers that start together have registered, so that a plan covers them all. */
-    private fun isStable(servers: List<BackendServer>): Boolean {
-        val incarnations = servers.map { Incarnation(it.id, it.bornMillis) }.toSet()
-        val holders = servers.count { it.held != null }
-        if (incarnations != observed) {
-            observed = incarnations
-            observedSince = now()
-            sentOrders.keys.retainAll(incarnations)
-            begunOrders.keys.retainAll(incarnations)
+    /**
+     * Waits until the servers of a new fleet, which start together, have registered, so that the
+     * first plan covers them all. A later plan starts from what servers hold and needs no wait.
+     */
+    private fun isObservable(state: ServiceState, servers: List<BackendServer>): Boolean {
+        val incarnations = servers.mapTo(mutableSetOf(), ::incarnation)
+        if (incarnations != state.observed) {
+            state.observed = incarnations
+            state.observedSince = now()
+            state.sentOrders.keys.retainAll(incarnations)
+            state.begunOrders.keys.retainAll(incarnations)
         }
-        val stableFor = now().since(observedSince ?: now())
-        val required = if (holders == 0) FIRST_STABLE_TIME else STABLE_TIME
-        return servers.isNotEmpty() && stableFor >= required
+        if (servers.isEmpty()) return false
+        if (state.sentOrders.isNotEmpty() || servers.any { it.held != null }) return true
+        return now().since(state.observedSince ?: now()) >= FIRST_STABLE_TIME
     }
 
-    private fun place(servers: List<BackendServer>, model: ModelProfile) {
-        val plan = plan(servers.map { placed(it, model) }, model)
-        for (server in servers) {
-            val layers = plan.layers[server.id] ?: continue
-            val incarnation = Incarnation(server.id, server.bornMillis)
-            if (server.held == layers) {
-                sentOrders -= incarnation
-                continue
-            }
-            val pending = sentOrders[incarnation]
-            if (pending != null && pending.layers == layers &&
-                now().since(pending.at) < pending.timeout
-            ) {
-                continue
+    private fun place(state: ServiceState, servers: List<BackendServer>, model: ModelProfile) {
+        val plan = plan(state, servers.map { placed(state, it, model) }, model)
+        val due = servers.mapNotNull { server ->
+            plan.layers[server.id]?.takeIf { isDue(state, server, it) }?.let { server to it }
+        }
+        val outcomes = ConcurrentHashMap<String, Outcome>()
+        runAll(
+            due.map { (server, layers) ->
+                { order(state, server, layers, model)?.let { outcomes[server.id] = it } }
             }
-            if (!holdsLease()) return
-            order(server, incarnation, layers, model)
+        )
+        for ((server, layers) in due) {
+            outcomes[server.id]?.let { record(state, server, layers, it, model) }
         }
     }
 
+    private fun isDue(state: ServiceState, server: BackendServer, layers: LayerRange): Boolean {
+        val incarnation = incarnation(server)
+        if (server.held == layers) {
+            state.sentOrders -= incarnation
+            return false
+        }
+        val pending = state.sentOrders[incarnation] ?: return true
+        return pending.layers != layers || now().since(pending.at) >= pending.timeout
+    }
+
     /** Keeps what servers hold while a missing server may still return. */
-    private fun plan(servers: List<PlacedServer>, model: ModelProfile): LayerPlan {
+    private fun plan(
+        state: ServiceState,
+        servers: List<PlacedServer>,
+        model: ModelProfile
+    ): LayerPlan {
         val planner = LayerPlanner(model)
         val kept = planner.plan(servers, mayReplace = false)
         if (kept.complete) {
-            incompleteSince = null
+            state.incompleteSince = null
             return kept
         }
-        val since = incompleteSince ?: now().also { incompleteSince = it }
+        val since = state.incompleteSince ?: now().also { state.incompleteSince = it }
         return if (now().since(since) < RESTART_TIME) kept else planner.plan(servers)
     }
 
     /** The server with the layers that it holds or was recently ordered to hold. */
-    private fun placed(server: BackendServer, model: ModelProfile): PlacedServer {
+    private fun placed(
+        state: ServiceState,
+        server: BackendServer,
+        model: ModelProfile
+    ): PlacedServer {
         val card = model.cards.getValue(server.card!!)
-        val pending = sentOrders[Incarnation(server.id, server.bornMillis)]
+        val pending = state.sentOrders[incarnation(server)]
             ?.takeIf { now().since(it.at) < it.timeout }
         val held = pending?.layers ?: server.held
         return PlacedServer(
@@ -102,42 +131,65 @@
         )
     }
 
+    /** Sends one order; returns null if the lease no longer allows it. May run concurrently. */
     private fun order(
+        state: ServiceState,
         server: BackendServer,
-        incarnation: Incarnation,
         layers: LayerRange,
         model: ModelProfile
-    ) {
+    ): Outcome? {
         val memory = model.cards.getValue(server.card!!).megabytes
         check(layers.size * model.layerMegabytes <= memory) {
             "${server.id}: $layers need more than its $memory MB"
         }
-        val expected = begunOrders[incarnation] ?: orders.ordersBegun(server)
+        if (!holdsLease()) return null
+        val incarnation = incarnation(server)
+        val expected = state.begunOrders[incarnation]
+            ?: if (isUntouched(state, server)) 0 else orders.ordersBegun(server)
+        // The report may have taken longer than the lease lasts.
+        if (!holdsLease()) return null
         val outcome = orders.place(server, layers, expected)
         log.info {
             "placement: server=${server.id} layers=$layers held=${server.held} " +
                 "expectedOrders=$expected outcome=$outcome"
         }
+        return Outcome(expected, outcome)
+    }
+
+    /** Whether the server has started empty and this node has not sent it an order yet. */
+    private fun isUntouched(state: ServiceState, server: BackendServer) =
+        server.held == null && incarnation(server) !in state.sentOrders
+
+    private fun record(
+        state: ServiceState,
+        server: BackendServer,
+        layers: LayerRange,
+        outcome: Outcome,
+        model: ModelProfile
+    ) {
+        val incarnation = incarnation(server)
         val load = model.loadTime * (layers.size.toDouble() / model.layers)
-        when (outcome) {
-            PlacementOutcome.BEGUN -> expected?.let { begunOrders[incarnation] = it + 1 }
-            PlacementOutcome.HOLDS_ALREADY -> expected?.let { begunOrders[incarnation] = it }
-            else -> begunOrders -= incarnation
+        val expected = outcome.expected
+        when (outcome.result) {
+            PlacementOutcome.BEGUN -> expected?.let { state.begunOrders[incarnation] = it + 1 }
+            PlacementOutcome.HOLDS_ALREADY -> expected?.let { state.begunOrders[incarnation] = it }
+            else -> state.begunOrders -= incarnation
         }
-        val timeout = if (outcome == PlacementOutcome.BEGUN) {
+        val timeout = if (outcome.result == PlacementOutcome.BEGUN) {
             load * LOAD_MARGIN + REPORT_TIME
         } else {
             RETRY_DELAY
         }
-        sentOrders[incarnation] = SentOrder(layers, now(), timeout)
+        state.sentOrders[incarnation] = SentOrder(layers, now(), timeout)
     }
 
+    private fun incarnation(server: BackendServer) = Incarnation(server.id, server.bornMillis)
+
     private companion object {
         val log = KotlinLogging.logger {}
 
         /** Servers of a new fleet register within about one heartbeat. */
         val FIRST_STABLE_TIME = 1_500.milliseconds
-        val STABLE_TIME = 200.milliseconds
 
         /** Time that a crashed server takes to start again after its entry is removed. */
         val RESTART_TIME = 4.seconds
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
@@ -3,18 +3,21 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.random.Random
 
 /**
  * Selects the server or chain for a request based on the fleet, the loads that servers report and
  * this node's own requests in flight.
  *
  * All nodes see the same delayed reports. A node therefore counts its own requests since the last
- * report immediately, and it uses another data centre only when its own chains are nearly full.
+ * report immediately, chooses at random among chains of nearly the same cost, and uses another data
+ * centre only when its own chains are nearly full.
  */
 public class ServerSelector(
     private val dataCentre: String,
     private val loads: ServerLoads = ServerLoads(),
-    private val now: () -> Moment = Moment::now
+    private val now: () -> Moment = Moment::now,
+    private val random: Random = Random.Default
 ) {
     /** A chain and the part of its cost that depends only on the fleet. */
     private class Candidate(val chain: Chain, val load: ServerLoad, val fixedCost: Double) {
@@ -81,7 +84,7 @@
             val healthy = !isAvoided(chain, at)
             if (bestHealthy && !healthy) continue
             val utilisation = candidate.load.estimate(at) / candidate.capacity
-            val cost = utilisation + candidate.fixedCost
+            val cost = utilisation + candidate.fixedCost + random.nextDouble() * RANDOM_COST
             if (cost < bestCost || healthy && !bestHealthy) {
                 best = ChainChoice(chain, utilisation, healthy)
                 bestHealthy = healthy
@@ -136,6 +139,9 @@
         /** Like [REMOTE_SERVER_COST], as a fraction of a chain's capacity. */
         const val REMOTE_CHAIN_COST = 0.35
 
+        /** Largest difference in utilisation that the random choice between chains may cause. */
+        const val RANDOM_COST = 0.1
+
         /** Cost of a chain that takes twice the time per token of the fastest chain. */
         const val SLOWNESS_COST = 0.1
 
