Let two nodes of a data centre read the store for the others

Change: KindCopy holds a node's copy of a kind and answers other nodes with what they lack and the age of its confirmation. StoreFollower makes the two best connected nodes of a data centre read and the others ask them; a source that is silent, late or failing is replaced by the next, and then by the store itself at a bounded rate. Copies never return to an older version. Data centres with fewer than four nodes read as before. Calls to a failing store back off to 0.6 s, and a batch of changes publishes one fleet.

--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/Cluster.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/Cluster.kt
@@ -28,6 +28,12 @@
 
     public fun sendGrants(to: InstanceId, grants: List<LimitGrant>)
 
+    /**
+     * Sends [question] to the member [to] and waits for its answer. Neither is repeated if lost, so
+     * callers set a timeout. Returns null if the member is unknown.
+     */
+    public suspend fun ask(to: InstanceId, question: ByteArray): ByteArray?
+
     /** Announces to peers that this node is leaving. It remains a member until [stop]. */
     public fun leave()
 
--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterCore.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterCore.kt
@@ -29,6 +29,8 @@
         fun send(to: String, frame: ByteArray, delivery: Delivery)
 
         fun replaceIfUnresponsive(to: String)
+
+        fun onAnswer(sequence: Int, answer: ByteArray)
     }
 
     private val intervals = settings.intervals
@@ -85,6 +87,13 @@
         sendBody(address, Delivery.REPLACEABLE) { Grant(it, grants) }
     }
 
+    /** Sends a question; returns false if the member is unknown. */
+    fun ask(to: InstanceId, sequence: Int, question: ByteArray): Boolean {
+        val address = table[to.value]?.address ?: return false
+        sendBody(address, Delivery.REPLACEABLE) { Ask(it, sequence, question) }
+        return true
+    }
+
     fun leave() {
         if (table.self.state != MemberState.ALIVE && table.self.state != MemberState.SUSPECT) return
         table.leave(now)
@@ -187,10 +196,17 @@
             is StateTransfer -> dissemination.onState(from, message, now)
             is Reports -> reports.onReports(message, now)
             is Demand -> listener.onDemand(InstanceId(message.exchange.from), message.demand)
+            is Ask -> onAsk(from, message)
+            is Answer -> output.onAnswer(message.sequence, message.body)
             is Grant -> listener.onGrants(InstanceId(message.exchange.from), message.grants)
         }
     }
 
+    private fun onAsk(from: String, message: Ask) {
+        val answer = listener.onAsk(InstanceId(message.exchange.from), message.body) ?: return
+        sendBody(from, Delivery.REPLACEABLE) { Answer(it, message.sequence, answer) }
+    }
+
     /** After a pause of this process, overdue answers say nothing about the state of the peers. */
     private fun detectOwnPause() {
         val gap = now - lastInputAt
--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterListener.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterListener.kt
@@ -32,4 +32,7 @@
     public fun onDemand(from: InstanceId, demand: List<LimitDemand>)
 
     public fun onGrants(from: InstanceId, grants: List<LimitGrant>)
+
+    /** Answers a question that [from] sent with [Cluster.ask]; null sends no answer. */
+    public fun onAsk(from: InstanceId, question: ByteArray): ByteArray? = null
 }
--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterNode.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterNode.kt
@@ -1,6 +1,8 @@
 package org.bramleytrestle.cluster
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CompletableDeferred
@@ -44,6 +46,8 @@
     )
     private val mutableMembers = MutableStateFlow(core.members())
     private var jobs = emptyList<Job>()
+    private val nextQuestion = AtomicInteger()
+    private val questions = ConcurrentHashMap<Int, CompletableDeferred<ByteArray?>>()
 
     override val members: StateFlow<Map<InstanceId, Member>> = mutableMembers.asStateFlow()
 
@@ -88,6 +92,22 @@
     override fun sendGrants(to: InstanceId, grants: List<LimitGrant>): Unit =
         input { it.sendGrants(to, grants) }
 
+    override suspend fun ask(to: InstanceId, question: ByteArray): ByteArray? {
+        val answer = CompletableDeferred<ByteArray?>()
+        val sequence = nextQuestion.incrementAndGet()
+        questions[sequence] = answer
+        try {
+            input { if (!it.ask(to, sequence, question)) answer.complete(null) }
+            return answer.await()
+        } finally {
+            questions -= sequence
+        }
+    }
+
+    override fun onAnswer(sequence: Int, answer: ByteArray) {
+        questions[sequence]?.complete(answer)
+    }
+
     override fun leave(): Unit = input { it.leave() }
 
     override fun cancelLeave(): Unit = input { it.cancelLeave() }
--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/Message.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/Message.kt
@@ -154,6 +154,23 @@
     val slots: Int
 )
 
+/** A question of the application to one member; [sequence] pairs it with its [Answer]. */
+@Serializable
+@CborArray
+internal class Ask(
+    override val exchange: Exchange,
+    val sequence: Int,
+    @ByteString val body: ByteArray
+) : Message
+
+@Serializable
+@CborArray
+internal class Answer(
+    override val exchange: Exchange,
+    val sequence: Int,
+    @ByteString val body: ByteArray
+) : Message
+
 @Serializable
 @CborArray
 internal class Demand(override val exchange: Exchange, val demand: List<LimitDemand>) : Message
--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/MessageCodec.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/MessageCodec.kt
@@ -32,7 +32,9 @@
         StateTransfer::class.java to Entry(10, StateTransfer.serializer()),
         Reports::class.java to Entry(11, Reports.serializer()),
         Demand::class.java to Entry(12, Demand.serializer()),
-        Grant::class.java to Entry(13, Grant.serializer())
+        Grant::class.java to Entry(13, Grant.serializer()),
+        Ask::class.java to Entry(14, Ask.serializer()),
+        Answer::class.java to Entry(15, Answer.serializer())
     )
     private val byTag = entries.values.associateBy { it.tag }
 
--- a/cluster/src/test/kotlin/org/bramleytrestle/cluster/Simulation.kt
+++ b/cluster/src/test/kotlin/org/bramleytrestle/cluster/Simulation.kt
@@ -23,6 +23,7 @@
         lateinit var core: ClusterCore
         var running = true
         var paused = false
+        val answers = mutableMapOf<Int, String>()
         val inbox = ArrayList<Pair<String, ByteArray>>()
         var sentBytes = 0L
         var receivedBytes = 0L
@@ -42,6 +43,10 @@
             unresponsiveLinks -= setOf(address, to)
         }
 
+        override fun onAnswer(sequence: Int, answer: ByteArray) {
+            answers[sequence] = answer.decodeToString()
+        }
+
         fun receive(from: String, frame: ByteArray) {
             if (!running) return
             if (paused) {
--- a/cluster/src/test/kotlin/org/bramleytrestle/cluster/TcpClusterTest.kt
+++ b/cluster/src/test/kotlin/org/bramleytrestle/cluster/TcpClusterTest.kt
@@ -5,13 +5,17 @@
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNull
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import org.bramleytrestle.model.DataCentre
 import org.bramleytrestle.model.InstanceId
 
@@ -39,6 +43,36 @@
         scope.cancel()
     }
 
+    @Test
+    fun `a question reaches the member it is sent to, and each answer its own question`() =
+        runBlocking {
+            val addresses = freeAddresses(2)
+            val listener = object : ClusterListener by RecordingListener() {
+                override fun onAsk(from: InstanceId, question: ByteArray): ByteArray? {
+                    val text = question.decodeToString()
+                    return "$text from ${from.value}".encodeToByteArray().takeIf { text != "no" }
+                }
+            }
+            val nodes = addresses.mapIndexed { index, address ->
+                member(index, address, listener, addresses.take(1))
+            }
+            nodes.forEach { it.start() }
+            withTimeout(LIMIT_MILLIS) {
+                nodes.forEach { node -> node.members.first { it.size == 2 } }
+            }
+            val to = InstanceId("node-0")
+            val answers = (1..50).map { number ->
+                async {
+                    number to nodes[1].ask(to, "q$number".encodeToByteArray())?.decodeToString()
+                }
+            }.awaitAll()
+            for ((number, answer) in answers) assertEquals("q$number from node-1", answer)
+            assertNull(nodes[1].ask(InstanceId("unknown"), byteArrayOf()))
+            assertNull(withTimeoutOrNull(300) { nodes[1].ask(to, "no".encodeToByteArray()) })
+            nodes.forEach { it.stop() }
+            scope.cancel()
+        }
+
     private fun member(
         index: Int,
         address: String,
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ConfigHolder.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ConfigHolder.kt
@@ -26,6 +26,10 @@
 
     /** Records that the store had no newer configuration at [confirmedAt]. */
     public fun confirm(confirmedAt: Moment) {
-        state.updateAndGet { it?.let { old -> State(old.config, confirmedAt) } }
+        state.updateAndGet { old ->
+            val last = old?.confirmedAt
+            val earlier = last != null && confirmedAt.monotonicNanos - last.monotonicNanos < 0
+            if (old == null || earlier) old else State(old.config, confirmedAt)
+        }
     }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/FleetHolder.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/FleetHolder.kt
@@ -1,7 +1,9 @@
 package org.bramleytrestle.serving
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
 
 /**
  * Builds the [Fleet] from the servers' entries in the store.
@@ -39,27 +41,36 @@
         publish()
     }
 
+    /** Applies [changes] in order and publishes one fleet for all of them. */
     @Synchronized
-    public fun put(name: String, server: BackendServer?, revision: Long) {
-        val known = entries[name]
-        if (known != null && known.revision >= revision) return
-        set(name, server, revision)
+    public fun apply(changes: List<FleetChange>) {
+        for (change in changes) {
+            val known = entries[change.name]
+            when {
+                known != null && known.revision > change.revision -> Unit
+                change.removed -> if (known != null) drop(change.name)
+                known?.revision == change.revision -> Unit
+                else -> set(change.name, change.server, change.revision)
+            }
+        }
         publish()
     }
 
+    /**
+     * Starts the grace period in which entries that expired during the outage may return.
+     *
+     * @param rest what is left of it, if another node noticed the outage.
+     */
     @Synchronized
-    public fun remove(name: String, revision: Long) {
-        val known = entries[name] ?: return
-        if (known.revision > revision) return
-        drop(name)
-        publish()
+    public fun storeRecovered(rest: Duration? = null) {
+        graceUntil = now() + (rest ?: GRACE_PERIOD)
     }
 
-    /** Starts the grace period in which entries that expired during the outage may return. */
-    @Synchronized
-    public fun storeRecovered() {
-        graceUntil = now() + GRACE_PERIOD
-    }
+    /** The rest of the grace period; zero if there is none. */
+    public val grace: Duration
+        @Synchronized get() = graceUntil
+            ?.let { (it.monotonicNanos - now().monotonicNanos).nanoseconds }
+            ?.coerceAtLeast(Duration.ZERO) ?: Duration.ZERO
 
     /** Removes missing entries whose grace period is over. */
     @Synchronized
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/KindWatcher.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/KindWatcher.kt
@@ -9,38 +9,33 @@
 import kotlinx.coroutines.delay
 import org.bramleytrestle.store.BatchWatchStore
 import org.bramleytrestle.store.StoreError
-import org.bramleytrestle.store.StoredObject
-import org.bramleytrestle.store.WatchEvent
 
 /**
- * Keeps a local copy of all objects of one kind in sync with the store, by list and watch.
+ * Keeps [copy] in sync with the store, by list and watch.
  *
- * @param onList called with all objects of the kind, at the start and after a gap in the watch.
- * @param onConfirmed called with the time up to which the copy is known to be complete.
- * @param onRecovered called before the first list or change after a store outage.
  * @param pause delay after changes, so that more of them are batched into one billed response.
+ * @param longestWait longest wait of a watch, and so the longest time between confirmations.
  */
 public class KindWatcher(
     private val store: BatchWatchStore,
-    private val kind: String,
-    private val onList: (List<StoredObject>) -> Unit,
-    private val onChange: (WatchEvent) -> Unit,
-    private val onConfirmed: (Moment) -> Unit = {},
-    private val onRecovered: () -> Unit = {},
+    private val copy: KindCopy,
     private val pause: Duration = Duration.ZERO,
+    private val longestWait: Duration = WAIT,
     private val now: () -> Moment = Moment::now
 ) {
     private var failingSince: Moment? = null
+    private var failures = 0
 
-    /** Lists and watches until cancelled. */
+    /** Watches from the copy's version, or lists first if there is none, until cancelled. */
     public suspend fun run(): Nothing {
+        copy.version?.let { watch(it) }
         while (true) {
             val sentAt = now()
-            store.list(kind).mapBoth(
+            store.list(copy.kind).mapBoth(
                 { list ->
                     onResponse()
-                    onList(list.items)
-                    onConfirmed(sentAt)
+                    copy.list(list)
+                    copy.confirm(sentAt)
                     watch(list.version)
                 },
                 { onFailure("list", it) }
@@ -50,14 +45,16 @@
 
     private suspend fun watch(listed: Long) {
         var version = listed
-        var wait = WAIT
+        var wait = longestWait
         while (true) {
             val sentAt = now()
-            val batch = store.watchBatch(kind, version, wait).mapBoth(
+            val batch = store.watchBatch(copy.kind, version, wait).mapBoth(
                 { it },
                 { error ->
                     if (error == StoreError.EXPIRED) {
-                        log.info { "store: kind=$kind history after $version expired, listing" }
+                        log.info {
+                            "store: kind=${copy.kind} history after $version expired, listing"
+                        }
                         return
                     }
                     onFailure("watch", error)
@@ -65,15 +62,15 @@
                 }
             ) ?: continue
             onResponse()
-            batch.events.forEach(onChange)
+            copy.apply(batch)
             version = maxOf(version, batch.version)
             // A watch without events was answered at the end of its wait and confirms that time.
             // One with events was answered at an unknown time after it was sent, so it confirms
             // only the time of sending, and the next wait is shortened to make up for it.
             val elapsed = now().since(sentAt)
             val timedOut = batch.events.isEmpty() && elapsed >= wait
-            onConfirmed(if (timedOut) sentAt + wait else sentAt)
-            wait = if (timedOut) WAIT else (WAIT - elapsed).coerceAtLeast(MIN_WAIT)
+            copy.confirm(if (timedOut) sentAt + wait else sentAt)
+            wait = if (timedOut) longestWait else (longestWait - elapsed).coerceAtLeast(MIN_WAIT)
             if (batch.events.isNotEmpty()) delay(pause)
         }
     }
@@ -81,17 +78,20 @@
     private fun onResponse() {
         val since = failingSince ?: return
         failingSince = null
+        failures = 0
         val outage = now().since(since)
-        log.info { "store: kind=$kind answers again after $outage" }
-        if (outage > MIN_OUTAGE) onRecovered()
+        log.info { "store: kind=${copy.kind} answers again after $outage" }
+        if (outage > MIN_OUTAGE) copy.recovered()
     }
 
     private suspend fun onFailure(call: String, error: StoreError) {
+        copy.failed()
         if (failingSince == null) {
             failingSince = now()
-            log.warn { "store: kind=$kind $call failed: $error" }
+            log.warn { "store: kind=${copy.kind} $call failed: $error" }
         }
-        delay(RETRY_DELAY * (1 + Random.nextDouble()))
+        val retryDelay = RETRY_DELAY * (1 shl failures++.coerceAtMost(MAX_DOUBLINGS))
+        delay(retryDelay * (1 + Random.nextDouble()))
     }
 
     private companion object {
@@ -106,6 +106,9 @@
         /** Shortest delay between two calls to a failing store; random jitter up to doubles it. */
         val RETRY_DELAY = 150.milliseconds
 
+        /** Calls are billed during an outage too; entries may take 2 s to return after it. */
+        const val MAX_DOUBLINGS = 2
+
         /** No entry expires during a shorter outage. */
         val MIN_OUTAGE = 1.seconds
     }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/NodeDirectory.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/NodeDirectory.kt
@@ -9,9 +9,13 @@
 import java.util.HexFormat
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.delay
+import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.intOrNull
 import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.put
 import org.bramleytrestle.store.ObjectStore
 import org.bramleytrestle.store.StoreError
 import org.bramleytrestle.store.StoredObject
@@ -30,9 +34,16 @@
         }
     }
 
-    /** Registers the address at which peers reach node [id], replacing an earlier address. */
-    public suspend fun register(id: String, peerAddress: String) {
-        val value = JsonPrimitive(peerAddress)
+    /**
+     * Registers the address at which peers reach node [id], replacing an earlier address.
+     *
+     * @param capacity how well the node can serve other nodes, see [capacities].
+     */
+    public suspend fun register(id: String, peerAddress: String, capacity: Int = 0) {
+        val value = buildJsonObject {
+            put(ADDRESS, peerAddress)
+            put(CAPACITY, capacity)
+        }
         while (true) {
             val error = store.create(NODES, id, value).mapBoth({ return }, { it })
             if (error == StoreError.ALREADY_EXISTS) {
@@ -46,12 +57,27 @@
     }
 
     /** Peer addresses of all nodes that have ever registered. */
-    public suspend fun peers(): Result<List<String>, StoreError> =
-        store.list(NODES).map { found -> found.items.mapNotNull(::address) }
+    public suspend fun peers(): Result<List<String>, StoreError> = store.list(NODES).map { found ->
+        capacities = found.items.associate { it.name to capacity(it) }
+        found.items.mapNotNull(::address)
+    }
+
+    /** Capacities of the nodes by id as of the last call of [peers]. */
+    @Volatile
+    public var capacities: Map<String, Int> = emptyMap()
+        private set
+
+    // Nodes of earlier versions register the address alone.
+    private fun address(item: StoredObject) = when (val value = item.value) {
+        is JsonObject -> (value[ADDRESS] as? JsonPrimitive)?.contentOrNull
+        is JsonPrimitive -> value.contentOrNull
+        else -> null
+    }
 
-    private fun address(item: StoredObject) = (item.value as? JsonPrimitive)?.contentOrNull
+    private fun capacity(item: StoredObject) =
+        ((item.value as? JsonObject)?.get(CAPACITY) as? JsonPrimitive)?.intOrNull ?: 0
 
-    private suspend fun update(known: StoredObject, value: JsonPrimitive) =
+    private suspend fun update(known: StoredObject, value: JsonObject) =
         store.update(NODES, known.name, value, known.version)
 
     private suspend fun createSecret(): String? {
@@ -66,6 +92,8 @@
         const val SECRETS = "peer-secrets"
         const val CURRENT = "current"
         const val SECRET_BYTES = 32
+        const val ADDRESS = "address"
+        const val CAPACITY = "capacity"
 
         /** Delay between two attempts while the store is unavailable. */
         val RETRY_DELAY = 300.milliseconds
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PeerMembership.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PeerMembership.kt
@@ -14,9 +14,14 @@
 import org.bramleytrestle.settings.SettingsState
 
 /** Membership of the cluster of nodes, based on the peer protocol. */
-public class PeerMembership(settings: ClusterSettings, scope: CoroutineScope) {
+public class PeerMembership(
+    settings: ClusterSettings,
+    scope: CoroutineScope,
+    private val onAsk: (ByteArray) -> ByteArray? = { null }
+) {
     private val own = settings.id
-    private val cluster: Cluster = Clusters.tcp(settings, NoOpListener, scope)
+    private val dataCentre = settings.dataCentre
+    private val cluster: Cluster = Clusters.tcp(settings, Listener(), scope)
 
     /**
      * Nodes that callers may use: the live nodes that advertise that they can serve. If there are
@@ -34,6 +39,15 @@
         get() = cluster.members.value.values
             .count { it.state == MemberState.ALIVE && it.id.value < own.value }
 
+    /** Ids of the live nodes of this data centre, this one included. */
+    public val localNodes: List<InstanceId>
+        get() = cluster.members.value.values.filter {
+            it.dataCentre == dataCentre && (it.state == MemberState.ALIVE || it.id == own)
+        }.map { it.id }
+
+    public suspend fun ask(to: InstanceId, question: ByteArray): ByteArray? =
+        cluster.ask(to, question)
+
     public suspend fun start(): Unit = cluster.start()
 
     public fun addSeeds(addresses: Collection<String>): Unit = cluster.addSeeds(addresses)
@@ -44,8 +58,10 @@
     public fun advertise(serving: Boolean): Unit =
         if (serving) cluster.cancelLeave() else cluster.leave()
 
-    /** Settings come from the object store here, so peers only exchange membership. */
-    private object NoOpListener : ClusterListener {
+    /** Settings come from the object store here, so peers exchange membership and questions. */
+    private inner class Listener : ClusterListener {
+        override fun onAsk(from: InstanceId, question: ByteArray): ByteArray? = onAsk(question)
+
         override fun settings(): SettingsState = SettingsState.EMPTY
 
         override fun changesAfter(revision: Long): List<Change> = emptyList()
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RelayedKind.kt
@@ -0,0 +1,24 @@
+package org.bramleytrestle.serving
+
+import kotlinx.serialization.Serializable
+
+/**
+ * What one node knows of the store objects of one kind, in answer to another node's question.
+ *
+ * @property version store version up to which the node knows all changes.
+ * @property ageMillis time since the store confirmed that; null if it never did.
+ * @property failing whether the node's last call for this kind to the store or its source failed.
+ * @property graceMillis time for which entries that are missing after a store outage still count.
+ * @property complete whether [items] are all objects instead of the changes since the question's
+ * version.
+ */
+@Serializable
+internal data class RelayedKind(
+    val kind: String,
+    val version: Long,
+    val ageMillis: Long?,
+    val failing: Boolean,
+    val graceMillis: Long = 0,
+    val complete: Boolean = false,
+    val items: List<RelayedItem> = emptyList()
+)
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
@@ -0,0 +1,178 @@
+package org.bramleytrestle.serving
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.SerializationException
+import org.bramleytrestle.model.InstanceId
+
+/**
+ * Keeps this node's [copies] of store objects up to date with few calls to the store.
+ *
+ * The first [READERS] nodes of a data centre read the store; the others ask one of them twice a
+ * second. An answer states how long ago the store confirmed it, so a source that is cut off,
+ * paused or late is noticed, and the node asks the next one, and then the store itself. While the
+ * store does not answer this node either, it keeps asking its sources and tests the store at a
+ * bounded rate.
+ *
+ * @param candidates live nodes of this data centre including this one, in the order in which they
+ * are chosen as readers.
+ * @param ask sends a question to a node; null if it cannot answer.
+ * @param readStore reads the store until cancelled.
+ * @param storeAnswers makes one call to the store.
+ */
+public class StoreFollower(
+    private val own: InstanceId,
+    private val copies: List<KindCopy>,
+    private val candidates: () -> List<InstanceId>,
+    private val ask: suspend (InstanceId, ByteArray) -> ByteArray?,
+    private val readStore: suspend () -> Unit,
+    private val storeAnswers: suspend () -> Boolean,
+    private val now: () -> Moment = Moment::now,
+    private val random: Random = Random.Default
+) {
+    private val startedAt = now()
+    private var reading: Job? = null
+    private var readingSince = startedAt
+    private var nextTest = startedAt
+    private var source: InstanceId? = null
+
+    /** Whether this node reads the store itself; for metrics. */
+    @Volatile
+    public var reads: Boolean = false
+        private set
+
+    /** Follows or reads until cancelled. */
+    public suspend fun run(): Unit = coroutineScope {
+        while (true) {
+            step(this)
+            delay(ASK_INTERVAL)
+        }
+    }
+
+    /** Answers another node's question from this node's copies. */
+    public fun answer(question: ByteArray): ByteArray? {
+        val asked = try {
+            RelayCodec.question(question)
+        } catch (e: SerializationException) {
+            log.warn { "store: question of a node cannot be read: ${e.message}" }
+            return null
+        }
+        val known = copies.filter { it.kind in asked.versions }
+            .mapNotNull { it.answer(asked.versions[it.kind]?.takeIf { version -> version >= 0 }) }
+        return RelayCodec.encode(known)
+    }
+
+    private suspend fun step(scope: CoroutineScope) {
+        val ordered = candidates()
+        val rank = ordered.indexOf(own)
+        if (ordered.size < MIN_FOLLOWED_NODES && now().since(startedAt) >= SETTLE_TIME ||
+            rank in 0 until READERS && now().since(startedAt) >= SETTLE_TIME
+        ) {
+            read(scope, "rank=$rank of ${ordered.size}")
+            return
+        }
+        val others = ordered.filter { it != own }
+        if (askSources(others)) {
+            stopReading()
+            return
+        }
+        if (reading != null) return
+        // A node without any copy lists at once; the others spread their tests of the store.
+        if (now().monotonicNanos - nextTest.monotonicNanos < 0) return
+        nextTest = now() + TEST_INTERVAL * (1 + random.nextDouble())
+        val settling = others.isEmpty() && now().since(startedAt) < SETTLE_TIME
+        if (settling) return
+        if (storeAnswers()) read(scope, "no source in time, sources=${others.size}")
+    }
+
+    /** Asks sources until one answers in time; returns whether one did. */
+    private suspend fun askSources(others: List<InstanceId>): Boolean {
+        val preferred = listOfNotNull(source?.takeIf { it in others.take(READERS) })
+        for (node in (preferred + others.take(MAX_SOURCES)).distinct()) {
+            if (!askOne(node)) continue
+            if (source != node) {
+                log.info { "store: reading from node ${node.value}, before from ${source?.value}" }
+                source = node
+            }
+            return true
+        }
+        return false
+    }
+
+    private suspend fun askOne(node: InstanceId): Boolean {
+        val askedAt = now()
+        val question = RelayQuestion(copies.associate { it.kind to (it.version ?: UNKNOWN) })
+        val bytes = withTimeoutOrNull(ASK_TIMEOUT) { ask(node, RelayCodec.encode(question)) }
+            ?: return false
+        return try {
+            val answers = RelayCodec.answer(bytes).associateBy { it.kind }
+            copies.all { copy ->
+                val answer = answers[copy.kind] ?: return false
+                val before = copy.version ?: UNKNOWN
+                copy.apply(answer, askedAt)
+                val age = answer.ageMillis?.milliseconds
+                answer.version >= before && !answer.failing && age != null && age <= MAX_AGE
+            }
+        } catch (e: SerializationException) {
+            log.warn { "store: answer of node ${node.value} cannot be read: ${e.message}" }
+            false
+        }
+    }
+
+    private fun read(scope: CoroutineScope, reason: String) {
+        if (reading?.isActive == true) return
+        log.info { "store: this node reads the store, $reason" }
+        reading = scope.launch { readStore() }
+        readingSince = now()
+        source = null
+        reads = true
+    }
+
+    private fun stopReading() {
+        val job = reading ?: return
+        // A source that is in time only now and then would make the node start over and over.
+        if (now().since(readingSince) < MIN_READING_TIME) return
+        log.info { "store: this node stops reading the store, source=${source?.value}" }
+        job.cancel()
+        reading = null
+        reads = false
+    }
+
+    public companion object {
+        private val log = KotlinLogging.logger {}
+
+        /** Readers in a data centre: one may fail while the other serves all followers. */
+        internal const val READERS = 2
+
+        /** With fewer nodes, followers would hardly save calls. */
+        internal const val MIN_FOLLOWED_NODES = 4
+
+        /** The readers and the two nodes that succeed them. */
+        internal const val MAX_SOURCES = 4
+        private const val UNKNOWN = -1L
+
+        /** Part of the shortest time in which a configuration has to be in force, 2 s. */
+        internal val ASK_INTERVAL = 400.milliseconds
+        internal val ASK_TIMEOUT = 500.milliseconds
+
+        /** Longest wait of a reader's watch; the copies of its followers are no younger. */
+        public val READER_WAIT: Duration = 1_500.milliseconds
+
+        /** Age of a healthy source, at most [READER_WAIT] and the time of a slow call to the store. */
+        internal val MAX_AGE = READER_WAIT + 700.milliseconds
+
+        /** Time in which a node that has started learns of the others. */
+        internal val SETTLE_TIME = 1.seconds
+        internal val TEST_INTERVAL = 1_500.milliseconds
+        internal val MIN_READING_TIME = 3.seconds
+    }
+}
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/KindWatcherTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/KindWatcherTest.kt
@@ -91,14 +91,14 @@
     ): ScriptedStore {
         val store = ScriptedStore(lists, watches, clock)
         runTest {
-            val watcher = KindWatcher(
-                store,
+            val copy = KindCopy(
                 "k",
-                onList = { items -> seen += "list ${items.size}" },
-                onChange = { seen += "change ${it.item.version}" },
+                onList = { seen += "list ${it.items.size}" },
+                onBatch = { it.events.forEach { event -> seen += "change ${event.item.version}" } },
                 onConfirmed = { confirmed += it },
                 now = clock::now
             )
+            val watcher = KindWatcher(store, copy, now = clock::now)
             val job = launch { watcher.run() }
             delay(60.seconds)
             job.cancel()
