--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
@@ -100,8 +100,10 @@
         return RequestOutcome.failed(null, "forwarded server status ${answer.status}")
     }
 
-    fun refuse(kind: ErrorKind): RequestOutcome =
-        refuseTask(task.request, task.reply, kind, lastReason, now())
+    fun refuse(kind: ErrorKind): RequestOutcome {
+        val stream = task.route.kind == RequestKind.STREAM
+        return refuseTask(task.request, task.reply, kind, lastReason, now(), stream)
+    }
 
     private companion object {
         /** Allows one further send per permitted server, to servers that had the request before. */
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ChainFinder.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ChainFinder.kt
@@ -106,7 +106,21 @@
         val time = stages.sumOf { stepMillis(it.server, it.layers.size) } +
             stages.zipWithNext { a, b -> hopMillis(a.server, b.server) }.sum()
         val memoryCapacity = stages.minOf { memoryCapacity(it.server) }
-        return Chain(stages, time, minOf(memoryCapacity, stages.first().server.slots))
+        val capacity =
+            minOf(memoryCapacity, linkCapacity(stages, time), stages.first().server.slots)
+        return Chain(stages, time, capacity)
+    }
+
+    /** Number of average-sized requests whose tokens the links between data centres carry. */
+    private fun linkCapacity(stages: List<Stage>, stepMillis: Double): Int {
+        val crossings = stages.zipWithNext { a, b ->
+            a.server.dataCentre != b.server.dataCentre
+        }.count { it }
+        if (crossings == 0 || model.crossCentreMegabits <= 0) return Int.MAX_VALUE
+        val megabits = crossings * model.activationBytes * model.meanTokens * BITS_PER_BYTE / MEGA
+        val perSecond = model.crossCentreMegabits * LINK_SHARE / megabits
+        val seconds = stepMillis * model.meanAnswerTokens / MILLIS_PER_SECOND
+        return (perSecond * seconds).toInt()
     }
 
     private fun stepMillis(server: BackendServer, layers: Int): Double =
@@ -141,5 +155,11 @@
         /** Higher than the cost of any detour within a data centre. */
         const val CROSS_DATA_CENTRE_HOP_MILLIS = 8.0
         const val REUSE_PENALTY = 0.5
+
+        /** Part of the link that one chain may fill; several chains cross it at the same time. */
+        const val LINK_SHARE = 0.3
+        const val BITS_PER_BYTE = 8
+        const val MEGA = 1e6
+        const val MILLIS_PER_SECOND = 1_000.0
     }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/KindCopy.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/KindCopy.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.bramleytrestle.store.StoredObject
@@ -16,6 +17,7 @@
  * The copy never returns to an older version: a list or change that is older than it is ignored, so
  * that a source which lags behind cannot bring back what was replaced or removed.
  *
+ * @property longestWait longest wait of a watch in the store, and so the usual age of a copy.
  * @param onList called with all objects of the kind.
  * @param onBatch called with changes of objects, oldest first.
  * @param onConfirmed called with the time up to which the copy is known to be complete.
@@ -25,6 +27,7 @@
  */
 public class KindCopy(
     public val kind: String,
+    public val longestWait: Duration = DEFAULT_WAIT,
     private val onList: (StoredObjectList) -> Unit,
     private val onBatch: (WatchBatch) -> Unit,
     private val onConfirmed: (Moment) -> Unit = {},
@@ -159,8 +162,11 @@
     private fun relayed(item: StoredObject) =
         RelayedItem(item.name, item.version, item.value.toString())
 
-    private companion object {
+    public companion object {
+        /** Short enough to detect a dead connection before the key revocation time is exceeded. */
+        public val DEFAULT_WAIT: Duration = 3.seconds
+
         /** A node that asks twice a second misses fewer removals between two questions. */
-        const val MAX_REMOVED = 1_000
+        private const val MAX_REMOVED = 1_000
     }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/KindWatcher.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/KindWatcher.kt
@@ -14,13 +14,11 @@
  * Keeps [copy] in sync with the store, by list and watch.
  *
  * @param pause delay after changes, so that more of them are batched into one billed response.
- * @param longestWait longest wait of a watch, and so the longest time between confirmations.
  */
 public class KindWatcher(
     private val store: BatchWatchStore,
     private val copy: KindCopy,
     private val pause: Duration = Duration.ZERO,
-    private val longestWait: Duration = WAIT,
     private val now: () -> Moment = Moment::now
 ) {
     private var failingSince: Moment? = null
@@ -45,7 +43,7 @@
 
     private suspend fun watch(listed: Long) {
         var version = listed
-        var wait = longestWait
+        var wait = copy.longestWait
         while (true) {
             val sentAt = now()
             val batch = store.watchBatch(copy.kind, version, wait).mapBoth(
@@ -70,7 +68,11 @@
             val elapsed = now().since(sentAt)
             val timedOut = batch.events.isEmpty() && elapsed >= wait
             copy.confirm(if (timedOut) sentAt + wait else sentAt)
-            wait = if (timedOut) longestWait else (longestWait - elapsed).coerceAtLeast(MIN_WAIT)
+            wait = if (timedOut) {
+                copy.longestWait
+            } else {
+                (copy.longestWait - elapsed).coerceAtLeast(MIN_WAIT)
+            }
             if (batch.events.isNotEmpty()) delay(pause)
         }
     }
@@ -97,9 +99,6 @@
     private companion object {
         val log = KotlinLogging.logger {}
 
-        /** Short enough to detect a dead connection before the key revocation time is exceeded. */
-        val WAIT = 3.seconds
-
         /** Shortest wait, used after a watch that returned events near the end of its wait. */
         val MIN_WAIT = 200.milliseconds
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ModelProfile.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ModelProfile.kt
@@ -12,6 +12,10 @@
  * [Accelerator.stepTimeFactor] 1.
  * @property cards kinds of accelerators by name.
  * @property meanTokens mean number of tokens of a request, prompt and answer together.
+ * @property meanAnswerTokens part of [meanTokens] that a server generates.
+ * @property activationBytes what a server forwards to the next one for each token.
+ * @property crossCentreMegabits bandwidth per second between data centres that all servers share;
+ * 0 if it is not limited.
  * @property loadTime time in which a server loads the weights of all layers.
  */
 public data class ModelProfile(
@@ -21,7 +25,10 @@
     val stepMillis: Double,
     val cards: Map<String, Accelerator>,
     val meanTokens: Int,
-    val loadTime: Duration
+    val loadTime: Duration,
+    val meanAnswerTokens: Int = 1,
+    val activationBytes: Double = 0.0,
+    val crossCentreMegabits: Double = 0.0
 ) {
     /** Memory in megabytes that one token takes in each layer. */
     val cacheMegabytesPerLayer: Double
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/NodeLifecycle.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/NodeLifecycle.kt
@@ -1,5 +1,6 @@
 package org.bramleytrestle.serving
 
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -17,6 +18,24 @@
     private val now: () -> Moment = Moment::now
 ) {
     private val leavingSince = AtomicReference<Moment?>(null)
+    private val active = AtomicInteger()
+
+    /** When the last request ended; null while one is in flight. */
+    @Volatile
+    private var idleSince: Moment? = now()
+
+    /** Number of requests that this node has read and not answered to the end. */
+    public val inFlight: Int get() = active.get()
+
+    /** Counts a request from the moment its head has been read. */
+    public fun requestStarted() {
+        active.incrementAndGet()
+        idleSince = null
+    }
+
+    public fun requestEnded() {
+        if (active.decrementAndGet() == 0) idleSince = now()
+    }
 
     public val leaving: Boolean get() = leavingSince.get() != null
 
@@ -30,10 +49,15 @@
         leavingSince.compareAndSet(null, now())
     }
 
-    /** Whether the process may exit with [inFlight] requests unfinished. */
-    public fun mayExit(inFlight: Int): Boolean {
+    /**
+     * Whether the process may exit: it has been idle for a while after the last callers' entry
+     * lists expired, or it would be killed soon.
+     */
+    public fun mayExit(): Boolean {
         val elapsed = leavingFor()
-        return elapsed > grace - EXIT_MARGIN || elapsed > ENTRY_LIST_RETENTION && inFlight == 0
+        if (elapsed > grace - EXIT_MARGIN) return true
+        val idle = idleSince?.let { now().since(it) } ?: return false
+        return elapsed > ENTRY_LIST_RETENTION && idle >= MIN_IDLE_TIME && inFlight == 0
     }
 
     private fun leavingFor(): Duration =
@@ -44,12 +68,15 @@
         val STREAM_ACCEPT_TIME = 2.seconds
 
         /** Longest usual duration of a plain request plus [EXIT_MARGIN]. */
-        val REFUSE_ALL_MARGIN = 1.seconds
+        val REFUSE_ALL_MARGIN = 1_500.milliseconds
 
         /** Three times the lifetime of an entry list, because some callers cache it that long. */
         val ENTRY_LIST_RETENTION = 6.seconds
 
-        /** Time to exit before the process is killed. */
-        val EXIT_MARGIN = 300.milliseconds
+        /** A request that has arrived may wait this long for a thread that reads it. */
+        val MIN_IDLE_TIME = 200.milliseconds
+
+        /** Time to exit before the process is killed, also for one with little processor time. */
+        val EXIT_MARGIN = 800.milliseconds
     }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/Refusals.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Refusals.kt
@@ -6,21 +6,26 @@
 import kotlin.time.Duration.Companion.seconds
 import org.bramleytrestle.model.ErrorKind
 
-/** Shortest retry delay for a refused caller if no server can take the request. */
-private val MIN_RETRY_AFTER = 200.milliseconds
+/**
+ * Range of the retry delay if no server can take the request, about the time in which servers
+ * recover. Delays are spread so that refused callers do not retry all at once.
+ */
+private val RECOVERY = 200.milliseconds..4.seconds
 
 /**
- * Longest retry delay, about the time in which servers recover. Delays are spread between the two
- * limits so that refused callers do not retry all at once.
+ * The same for streams on model servers: a failed server starts again within some seconds and then
+ * loads weights. A caller that returns sooner is refused again and has no further retry.
  */
-private val MAX_RETRY_AFTER = 4.seconds
+private val MODEL_RECOVERY = 4.seconds..8.seconds
 
-/** The same limits if another node can serve the request immediately. */
-private val MIN_RETRY_AFTER_OTHER_NODE = 20.milliseconds
-private val MAX_RETRY_AFTER_OTHER_NODE = 150.milliseconds
+/** The same if another node can serve the request immediately. */
+private val OTHER_NODE = 20.milliseconds..150.milliseconds
 
-/** A retry delay of at most 1/4 of the remaining time leaves enough of it for the answer. */
-private const val REMAINING_TIME_DIVISOR = 4
+/** A retry delay of at most this part of the remaining time leaves enough of it for the answer. */
+private const val REMAINING_SHARE = 0.25
+
+/** Callers follow a delay of at most a third of their remaining time; the rest is a margin. */
+private const val STREAM_REMAINING_SHARE = 0.3
 
 /** Refuses a request, with a retry delay if a retry can succeed. */
 internal fun refuseTask(
@@ -28,22 +33,32 @@
     reply: CallerReply,
     kind: ErrorKind,
     detail: String,
-    at: Moment
+    at: Moment,
+    stream: Boolean = false,
+    random: Random = Random.Default
 ): RequestOutcome {
     val otherNode = kind == ErrorKind.LEAVING || kind == ErrorKind.PLATFORM_UNAVAILABLE
     val retryAfter = when {
         !kind.retryable -> null
-        otherNode -> retryAfter(request, at, MIN_RETRY_AFTER_OTHER_NODE, MAX_RETRY_AFTER_OTHER_NODE)
-        else -> retryAfter(request, at, MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        otherNode -> retryAfter(request, at, OTHER_NODE, REMAINING_SHARE, random)
+        stream -> retryAfter(request, at, MODEL_RECOVERY, STREAM_REMAINING_SHARE, random)
+        else -> retryAfter(request, at, RECOVERY, REMAINING_SHARE, random)
     }
     reply.refuse(kind, detail, retryAfter)
     return RequestOutcome.failed(kind, detail)
 }
 
-private fun retryAfter(request: CallerRequest, at: Moment, min: Duration, max: Duration): Duration {
-    val timeout = request.timeout ?: (max * REMAINING_TIME_DIVISOR)
+private fun retryAfter(
+    request: CallerRequest,
+    at: Moment,
+    range: ClosedRange<Duration>,
+    remainingShare: Double,
+    random: Random
+): Duration {
+    val timeout = request.timeout ?: (range.endInclusive / remainingShare)
     val remaining = timeout - at.since(request.receivedAt)
-    val latest = minOf(max, remaining / REMAINING_TIME_DIVISOR).coerceAtLeast(Duration.ZERO)
-    val earliest = minOf(min, latest)
-    return earliest + (latest - earliest) * Random.nextDouble()
+    val latest = minOf(range.endInclusive, remaining * remainingShare).coerceAtLeast(Duration.ZERO)
+    // Delays that the remaining time cuts short keep their spread.
+    val earliest = range.start * (latest / range.endInclusive)
+    return earliest + (latest - earliest) * random.nextDouble()
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RelayedKind.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RelayedKind.kt
@@ -7,7 +7,7 @@
  *
  * @property version store version up to which the node knows all changes.
  * @property ageMillis time since the store confirmed that; null if it never did.
- * @property failing whether the node's last call for this kind to the store or its source failed.
+ * @property failing whether the node does not read the store itself or its last call failed.
  * @property graceMillis time for which entries that are missing after a store outage still count.
  * @property complete whether [items] are all objects instead of the changes since the question's
  * version.
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
@@ -17,31 +17,41 @@
     private val dataCentre: String,
     private val loads: ServerLoads = ServerLoads(),
     private val now: () -> Moment = Moment::now,
-    private val random: Random = Random.Default
+    private val random: Random = Random.Default,
+    private val findChains: (ModelProfile, List<BackendServer>) -> List<Chain> =
+        { model, servers -> ChainFinder(model).find(servers) }
 ) {
     /** A chain and the part of its cost that depends only on the fleet. */
     private class Candidate(val chain: Chain, val load: ServerLoad, val fixedCost: Double) {
         val capacity = maxOf(1.0, chain.capacity.toDouble())
     }
 
-    /** A fleet and the chains found for it, by service and avoided servers. */
-    private class Snapshot(val fleet: Fleet) {
-        val chains = ConcurrentHashMap<Pair<String, Set<String>>, List<Candidate>>()
+    /** Chains of one service for a model, by avoided servers. */
+    private class Found(val model: ModelProfile) {
+        val byAvoided = ConcurrentHashMap<Set<String>, List<Candidate>>()
     }
 
-    private val snapshot = AtomicReference(Snapshot(Fleet.EMPTY))
+    /** A fleet and the chains found for it. Services whose servers are unchanged keep theirs. */
+    private class Snapshot(val fleet: Fleet, previous: Snapshot?) {
+        val chains = ConcurrentHashMap<String, Found>()
+
+        init {
+            for ((service, found) in previous?.chains.orEmpty()) {
+                if (fleet.ready[service] == previous?.fleet?.ready[service]) chains[service] = found
+            }
+        }
+    }
+
+    private val snapshot = AtomicReference(Snapshot(Fleet.EMPTY, null))
 
     /** Monotonic times until which chains are avoided, by label. */
     private val avoidedChains = ConcurrentHashMap<String, Long>()
 
     public val fleet: Fleet get() = snapshot.get().fleet
 
-    /**
-     * Sets the fleet and discards the cached chains. A new configuration makes them invalid too, so
-     * it requires a call with the current fleet.
-     */
+    /** Sets the fleet and discards the cached chains of services whose servers changed. */
     public fun update(fleet: Fleet) {
-        snapshot.set(Snapshot(fleet))
+        snapshot.updateAndGet { Snapshot(fleet, it) }
         loads.retain(fleet)
         val nanos = now().monotonicNanos
         avoidedChains.values.removeIf { nanos - it >= 0 }
@@ -116,14 +126,28 @@
         model: ModelProfile,
         servers: List<BackendServer>,
         avoided: Set<String>
-    ): List<Candidate> = current.chains.computeIfAbsent(service to avoided) {
-        val found = ChainFinder(model).find(servers.filter { it.id !in avoided })
+    ): List<Candidate> {
+        val cached = current.chains.compute(service) { _, known ->
+            known?.takeIf { it.model == model && it.byAvoided.size < MAX_CACHED_SEARCHES }
+                ?: Found(model)
+        }!!
+        return cached.byAvoided.computeIfAbsent(avoided) { search(service, model, servers, it) }
+    }
+
+    private fun search(
+        service: String,
+        model: ModelProfile,
+        servers: List<BackendServer>,
+        avoided: Set<String>
+    ): List<Candidate> {
+        val found = findChains(model, servers.filter { it.id !in avoided })
         log.info {
-            "routing: service=$service servers=${servers.size} avoided=${avoided.size} " +
-                "chains=" + found.joinToString(";") { "${it.label}/${it.capacity}" }
+            "routing: service=$service servers=${servers.size} avoided=$avoided " +
+                "chains=" +
+                found.joinToString(";") { "${it.first.id}/${it.stages.size}/${it.capacity}" }
         }
         val fastest = found.minOfOrNull { it.stepMillis } ?: 1.0
-        found.map { chain ->
+        return found.map { chain ->
             val remote = if (chain.first.dataCentre == dataCentre) 0.0 else REMOTE_CHAIN_COST
             val slow = (chain.stepMillis / fastest - 1) * SLOWNESS_COST
             Candidate(chain, load(chain.first), remote + slow)
@@ -133,6 +157,9 @@
     private companion object {
         val log = KotlinLogging.logger {}
 
+        /** Sets of avoided servers for which chains are kept while the servers do not change. */
+        const val MAX_CACHED_SEARCHES = 32
+
         /** Difference in utilisation that justifies billed traffic to another data centre. */
         const val REMOTE_SERVER_COST = 0.4
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
@@ -68,7 +68,8 @@
         }
         val known = copies.filter { it.kind in asked.versions }
             .mapNotNull { it.answer(asked.versions[it.kind]?.takeIf { version -> version >= 0 }) }
-        return RelayCodec.encode(known)
+        // Followers that take each other for a source would agree on an old state.
+        return RelayCodec.encode(if (reads) known else known.map { it.copy(failing = true) })
     }
 
     private suspend fun step(scope: CoroutineScope) {
@@ -120,7 +121,8 @@
                 val before = copy.version ?: UNKNOWN
                 copy.apply(answer, askedAt)
                 val age = answer.ageMillis?.milliseconds
-                answer.version >= before && !answer.failing && age != null && age <= MAX_AGE
+                answer.version >= before && !answer.failing && age != null &&
+                    age <= copy.longestWait + AGE_MARGIN
             }
         } catch (e: SerializationException) {
             log.warn { "store: answer of node ${node.value} cannot be read: ${e.message}" }
@@ -164,15 +166,12 @@
         internal val ASK_INTERVAL = 400.milliseconds
         internal val ASK_TIMEOUT = 500.milliseconds
 
-        /** Longest wait of a reader's watch; the copies of its followers are no younger. */
-        public val READER_WAIT: Duration = 1_500.milliseconds
-
-        /** Age of a healthy source, at most [READER_WAIT] and the time of a slow call to the store. */
-        internal val MAX_AGE = READER_WAIT + 700.milliseconds
+        /** Time of a slow call to the store, by which a healthy source's age exceeds its wait. */
+        internal val AGE_MARGIN = 700.milliseconds
 
         /** Time in which a node that has started learns of the others. */
         internal val SETTLE_TIME = 1.seconds
         internal val TEST_INTERVAL = 1_500.milliseconds
-        internal val MIN_READING_TIME = 3.seconds
+        internal val MIN_READING_TIME = 1.seconds
     }
 }
