--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestHandler.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestHandler.kt
@@ -64,7 +64,7 @@
         if (refusal != null || route == null) {
             return refuse(request, reply, refusal ?: error("unrouted request not refused"))
         }
-        val service = config.services[pickService(route, request.id)]
+        val service = pickService(route, request.id)?.let(config.services::get)
             ?: return refuse(request, reply, Refusal(ErrorKind.NO_ROUTE, "service not configured"))
         val timeout = minOf(route.timeout, request.timeout ?: route.timeout)
         val task = RequestTask(request, reply, route, service, organisation, timeout, trace)
@@ -75,10 +75,10 @@
         }
     }
 
-    /** Picks a service by weight; the choice is stable for a request id. */
-    private fun pickService(route: Route, id: String): String {
+    /** Picks a service by weight; stable for a request id. Null if the route names no service. */
+    private fun pickService(route: Route, id: String): String? {
         val total = route.shares.sumOf { it.weight }
-        if (total <= 0) return route.shares.first().service
+        if (total <= 0) return route.shares.firstOrNull()?.service
         var point = Math.floorMod(StableHash.of(id), total.toLong())
         for (share in route.shares) {
             point -= share.weight
