--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterCore.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterCore.kt
@@ -59,7 +59,8 @@
     fun members(): Map<InstanceId, Member> = view.members(now)
 
     fun addSeeds(addresses: Collection<String>) {
-        seeds += addresses
+        // A member that knows no other joins with the next tick.
+        if (seeds.addAll(addresses) && table.all.size == 1) nextSeed = now
     }
 
     fun pushChanges(changes: List<Change>) {
@@ -299,7 +300,9 @@
             it.state != MemberState.DEAD &&
                 dataCentres.state(it.dataCentre, now) != MemberState.DEAD
         }.mapTo(HashSet()) { it.address }
-        (seeds - live).randomOrNull(random)?.let { sendDigests(it) }
+        // Some of the first seeds may be gone or may know as little as this member.
+        val count = if (live.size <= 1) FIRST_SEEDS else 1
+        (seeds - live).shuffled(random).take(count).forEach { sendDigests(it) }
         table.all.filter { it.state == MemberState.DEAD && it.address !in live }
             .randomOrNull(random)?.let { sendDigests(it.address) }
         reports.removeStaleState(table.all.mapTo(HashSet()) { it.address }, now)
@@ -361,6 +364,7 @@
         /** 1,000 entries of about 90 bytes stay well below the frame limit of 1 MB. */
         const val ENTRIES_PER_MESSAGE = 1_000
         const val FAN_OUT = 3
+        const val FIRST_SEEDS = 3
         const val REMOTE_FAN_OUT = 3
         const val REMOTE_PROBES = 2
         const val REMOTE_INDEX_BOUND = 1_000
--- a/cluster/src/test/kotlin/org/bramleytrestle/cluster/MembershipTest.kt
+++ b/cluster/src/test/kotlin/org/bramleytrestle/cluster/MembershipTest.kt
@@ -52,6 +52,19 @@
     }
 
     // Guards against slow failure detection, during which clients of a dead node wait.
+    // Guards against a start in which members that learn their seeds late wait for the next retry.
+    @Test
+    fun `a member that learns of seeds after its start joins within a second`() {
+        for (seed in 1..20) {
+            val simulation = started(6, 1, seed)
+            val late = simulation.add("late", "dc-0", emptyList())
+            simulation.run(1_000)
+            late.core.addSeeds(listOf("gone:7000") + simulation.nodes.map { it.address })
+            val joined = simulation.runUntil(1_000) { late.alive.size == 7 }
+            assertNotNull(joined, "seed $seed: ${late.alive}")
+        }
+    }
+
     @Test
     fun `all members detect a death within two and a half seconds`() {
         for (seed in 1..10) {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/KindCopy.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/KindCopy.kt
@@ -17,7 +17,8 @@
  * The copy never returns to an older version: a list or change that is older than it is ignored, so
  * that a source which lags behind cannot bring back what was replaced or removed.
  *
- * @property longestWait longest wait of a watch in the store, and so the usual age of a copy.
+ * @property longestWait longest wait of a watch of nodes that others follow, and so the usual age
+ * of their copies.
  * @param onList called with all objects of the kind.
  * @param onBatch called with changes of objects, oldest first.
  * @param onConfirmed called with the time up to which the copy is known to be complete.
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/KindWatcher.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/KindWatcher.kt
@@ -13,12 +13,14 @@
 /**
  * Keeps [copy] in sync with the store, by list and watch.
  *
+ * @param longestWait longest wait of a watch, and so the longest time between confirmations.
  * @param pause delay after changes, so that more of them are batched into one billed response.
  */
 public class KindWatcher(
     private val store: BatchWatchStore,
     private val copy: KindCopy,
     private val pause: Duration = Duration.ZERO,
+    private val longestWait: Duration = KindCopy.DEFAULT_WAIT,
     private val now: () -> Moment = Moment::now
 ) {
     private var failingSince: Moment? = null
@@ -43,7 +45,7 @@
 
     private suspend fun watch(listed: Long) {
         var version = listed
-        var wait = copy.longestWait
+        var wait = longestWait
         while (true) {
             val sentAt = now()
             val batch = store.watchBatch(copy.kind, version, wait).mapBoth(
@@ -68,11 +70,7 @@
             val elapsed = now().since(sentAt)
             val timedOut = batch.events.isEmpty() && elapsed >= wait
             copy.confirm(if (timedOut) sentAt + wait else sentAt)
-            wait = if (timedOut) {
-                copy.longestWait
-            } else {
-                (copy.longestWait - elapsed).coerceAtLeast(MIN_WAIT)
-            }
+            wait = if (timedOut) longestWait else (longestWait - elapsed).coerceAtLeast(MIN_WAIT)
             if (batch.events.isNotEmpty()) delay(pause)
         }
     }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/NodeDirectory.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/NodeDirectory.kt
@@ -37,11 +37,17 @@
     /**
      * Registers the address at which peers reach node [id], replacing an earlier address.
      *
-     * @param capacity how well the node can serve other nodes, see [capacities].
+     * @param capacity how well the node can serve other nodes.
      */
-    public suspend fun register(id: String, peerAddress: String, capacity: Int = 0) {
+    public suspend fun register(
+        id: String,
+        peerAddress: String,
+        dataCentre: String,
+        capacity: Int = 0
+    ) {
         val value = buildJsonObject {
             put(ADDRESS, peerAddress)
+            put(DATA_CENTRE, dataCentre)
             put(CAPACITY, capacity)
         }
         while (true) {
@@ -58,13 +64,13 @@
 
     /** Peer addresses of all nodes that have ever registered. */
     public suspend fun peers(): Result<List<String>, StoreError> = store.list(NODES).map { found ->
-        capacities = found.items.associate { it.name to capacity(it) }
+        registered = found.items.mapNotNull(::registration)
         found.items.mapNotNull(::address)
     }
 
-    /** Capacities of the nodes by id as of the last call of [peers]. */
+    /** Nodes as of the last call of [peers], including those that are gone for good. */
     @Volatile
-    public var capacities: Map<String, Int> = emptyMap()
+    public var registered: List<NodeRegistration> = emptyList()
         private set
 
     // Nodes of earlier versions register the address alone.
@@ -74,8 +80,14 @@
         else -> null
     }
 
-    private fun capacity(item: StoredObject) =
-        ((item.value as? JsonObject)?.get(CAPACITY) as? JsonPrimitive)?.intOrNull ?: 0
+    private fun registration(item: StoredObject): NodeRegistration? {
+        val value = item.value as? JsonObject ?: return null
+        return NodeRegistration(
+            id = item.name,
+            dataCentre = (value[DATA_CENTRE] as? JsonPrimitive)?.contentOrNull ?: return null,
+            capacity = (value[CAPACITY] as? JsonPrimitive)?.intOrNull ?: 0
+        )
+    }
 
     private suspend fun update(known: StoredObject, value: JsonObject) =
         store.update(NODES, known.name, value, known.version)
@@ -93,6 +105,7 @@
         const val CURRENT = "current"
         const val SECRET_BYTES = 32
         const val ADDRESS = "address"
+        const val DATA_CENTRE = "dataCentre"
         const val CAPACITY = "capacity"
 
         /** Delay between two attempts while the store is unavailable. */
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
@@ -24,9 +24,9 @@
  * bounded rate.
  *
  * @param candidates live nodes of this data centre including this one, in the order in which they
- * are chosen as readers.
+ * are chosen as readers; empty while they are not known.
  * @param ask sends a question to a node; null if it cannot answer.
- * @param readStore reads the store until cancelled.
+ * @param readStore reads the store until cancelled; others follow this node or may do so.
  * @param storeAnswers makes one call to the store.
  */
 public class StoreFollower(
@@ -34,7 +34,7 @@
     private val copies: List<KindCopy>,
     private val candidates: () -> List<InstanceId>,
     private val ask: suspend (InstanceId, ByteArray) -> ByteArray?,
-    private val readStore: suspend () -> Unit,
+    private val readStore: suspend (followed: Boolean) -> Unit,
     private val storeAnswers: suspend () -> Boolean,
     private val now: () -> Moment = Moment::now,
     private val random: Random = Random.Default
@@ -44,6 +44,7 @@
     private var readingSince = startedAt
     private var nextTest = startedAt
     private var source: InstanceId? = null
+    private var readsForOthers = false
 
     /** Whether this node reads the store itself; for metrics. */
     @Volatile
@@ -75,10 +76,9 @@
     private suspend fun step(scope: CoroutineScope) {
         val ordered = candidates()
         val rank = ordered.indexOf(own)
-        if (ordered.size < MIN_FOLLOWED_NODES && now().since(startedAt) >= SETTLE_TIME ||
-            rank in 0 until READERS && now().since(startedAt) >= SETTLE_TIME
-        ) {
-            read(scope, "rank=$rank of ${ordered.size}")
+        val settled = now().since(startedAt) >= SETTLE_TIME
+        if (rank in 0 until READERS || settled && ordered.size < MIN_FOLLOWED_NODES) {
+            read(scope, "rank=$rank of ${ordered.size}", ordered.size >= MIN_FOLLOWED_NODES)
             return
         }
         val others = ordered.filter { it != own }
@@ -90,9 +90,8 @@
         // A node without any copy lists at once; the others spread their tests of the store.
         if (now().monotonicNanos - nextTest.monotonicNanos < 0) return
         nextTest = now() + TEST_INTERVAL * (1 + random.nextDouble())
-        val settling = others.isEmpty() && now().since(startedAt) < SETTLE_TIME
-        if (settling) return
-        if (storeAnswers()) read(scope, "no source in time, sources=${others.size}")
+        if (others.isEmpty() && !settled) return
+        if (storeAnswers()) read(scope, "no source in time, sources=${others.size}", true)
     }
 
     /** Asks sources until one answers in time; returns whether one did. */
@@ -130,10 +129,12 @@
         }
     }
 
-    private fun read(scope: CoroutineScope, reason: String) {
-        if (reading?.isActive == true) return
+    private fun read(scope: CoroutineScope, reason: String, followed: Boolean) {
+        if (reading?.isActive == true && followed == readsForOthers) return
+        reading?.cancel()
+        readsForOthers = followed
         log.info { "store: this node reads the store, $reason" }
-        reading = scope.launch { readStore() }
+        reading = scope.launch { readStore(followed) }
         readingSince = now()
         source = null
         reads = true
@@ -170,7 +171,7 @@
         internal val AGE_MARGIN = 700.milliseconds
 
         /** Time in which a node that has started learns of the others. */
-        internal val SETTLE_TIME = 1.seconds
+        internal val SETTLE_TIME = 1_500.milliseconds
         internal val TEST_INTERVAL = 1_500.milliseconds
         internal val MIN_READING_TIME = 1.seconds
     }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StoreFollowerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StoreFollowerTest.kt
@@ -52,7 +52,7 @@
                     if (to.value in paused || to.value in dead) awaitCancellation()
                     node.follower.answer(question)
                 },
-                readStore = ::readStore,
+                readStore = { readStore() },
                 storeAnswers = { call() != null },
                 now = ::moment,
                 random = Random(1)
