Share observed failures of servers within a data centre

Cause: when a rack fails, each node had to lose a request of its own on each of its servers; at two requests a second a node that took until the store removed the entries, 3 to 4 s.

Change: followers report servers that they could not reach, or that another server named as faulty, with the question that they ask their reader anyway; the answer names those that two nodes observed. One node alone is not believed, since it may be slow or cut off.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PeerMembership.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PeerMembership.kt
@@ -17,7 +17,7 @@
 public class PeerMembership(
     settings: ClusterSettings,
     scope: CoroutineScope,
-    private val onAsk: (ByteArray) -> ByteArray? = { null }
+    private val onAsk: (from: InstanceId, question: ByteArray) -> ByteArray? = { _, _ -> null }
 ) {
     private val own = settings.id
     private val dataCentre = settings.dataCentre
@@ -60,7 +60,8 @@
 
     /** Settings come from the object store here, so peers exchange membership and questions. */
     private inner class Listener : ClusterListener {
-        override fun onAsk(from: InstanceId, question: ByteArray): ByteArray? = onAsk(question)
+        override fun onAsk(from: InstanceId, question: ByteArray): ByteArray? =
+            this@PeerMembership.onAsk(from, question)
 
         override fun settings(): SettingsState = SettingsState.EMPTY
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
@@ -66,7 +66,7 @@
         }
         try {
             attempts.record(server, answer)
-            return settle(task, answer, load, attempts, active)
+            return settle(task, answer, server, attempts, active)
         } finally {
             exchange.close()
         }
@@ -75,10 +75,11 @@
     private fun settle(
         task: RequestTask,
         answer: ServerReply,
-        load: ServerLoad,
+        server: BackendServer,
         attempts: AttemptTracker,
         active: ActiveRequest
     ): RequestOutcome? {
+        val load = selector.load(server)
         when (answer) {
             is ServerReply.Complete -> {
                 task.trace.result("status ${answer.status}")
@@ -92,7 +93,11 @@
             }
             is ServerReply.NotRun -> {
                 task.trace.result("not run: ${answer.reason}")
-                if (!answer.reached || answer.misdirected) load.failed()
+                if (!answer.reached) {
+                    selector.serverFailed(server)
+                } else if (answer.misdirected) {
+                    load.failed()
+                }
             }
             is ServerReply.Failed -> {
                 task.trace.result("${answer.reason} ${active.cancelCause ?: ""}")
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RelayAnswer.kt
@@ -0,0 +1,14 @@
+package org.bramleytrestle.serving
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Answer to a [RelayQuestion].
+ *
+ * @property failed backend servers that several nodes found to have failed.
+ */
+@Serializable
+internal data class RelayAnswer(
+    val kinds: List<RelayedKind>,
+    val failed: List<FailedServer> = emptyList()
+)
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RelayCodec.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RelayCodec.kt
@@ -11,13 +11,11 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.cbor.Cbor
 
 /** Encodes questions and answers between nodes as CBOR; answers with items are compressed. */
 internal object RelayCodec {
     private val cbor = Cbor { ignoreUnknownKeys = true }
-    private val kinds = ListSerializer(RelayedKind.serializer())
 
     fun encode(question: RelayQuestion): ByteArray =
         cbor.encodeToByteArray(RelayQuestion.serializer(), question)
@@ -25,9 +23,9 @@
     /** @throws SerializationException if [bytes] are not a question. */
     fun question(bytes: ByteArray): RelayQuestion = decode(RelayQuestion.serializer(), bytes)
 
-    fun encode(answer: List<RelayedKind>): ByteArray {
-        val plain = cbor.encodeToByteArray(kinds, answer)
-        if (answer.all { it.items.isEmpty() }) return byteArrayOf(PLAIN) + plain
+    fun encode(answer: RelayAnswer): ByteArray {
+        val plain = cbor.encodeToByteArray(RelayAnswer.serializer(), answer)
+        if (answer.kinds.all { it.items.isEmpty() }) return byteArrayOf(PLAIN) + plain
         val out = ByteArrayOutputStream()
         out.write(COMPRESSED.toInt())
         val deflater = Deflater(Deflater.BEST_SPEED)
@@ -37,11 +35,11 @@
     }
 
     /** @throws SerializationException if [bytes] are not an answer or exceed [MAX_BYTES]. */
-    fun answer(bytes: ByteArray): List<RelayedKind> {
+    fun answer(bytes: ByteArray): RelayAnswer {
         val body = bytes.drop(1).toByteArray()
         return when (bytes.firstOrNull()) {
-            PLAIN -> decode(kinds, body)
-            COMPRESSED -> decode(kinds, inflate(body))
+            PLAIN -> decode(RelayAnswer.serializer(), body)
+            COMPRESSED -> decode(RelayAnswer.serializer(), inflate(body))
             else -> throw SerializationException(
                 "answer form ${bytes.firstOrNull()}: expected 0, 1"
             )
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RelayQuestion.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RelayQuestion.kt
@@ -2,6 +2,13 @@
 
 import kotlinx.serialization.Serializable
 
-/** Asks a node for changes of the kinds in [versions] after the versions that are known already. */
+/**
+ * Asks a node for changes of the kinds in [versions] after the versions that are known already.
+ *
+ * @property failed backend servers that the asking node found to have failed.
+ */
 @Serializable
-internal data class RelayQuestion(val versions: Map<String, Long>)
+internal data class RelayQuestion(
+    val versions: Map<String, Long>,
+    val failed: List<FailedServer> = emptyList()
+)
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoad.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoad.kt
@@ -56,8 +56,11 @@
         consecutiveFailures.set(0)
     }
 
-    private fun avoid(span: Duration) {
-        avoidUntilNanos = now().monotonicNanos + span.inWholeNanoseconds
+    /** Avoids the server for [span], or longer if it is avoided longer already. */
+    public fun avoid(span: Duration) {
+        val until = now().monotonicNanos + span.inWholeNanoseconds
+        val current = avoidUntilNanos
+        if (current == Long.MIN_VALUE || until - current > 0) avoidUntilNanos = until
         onAvoidance()
     }
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
@@ -47,6 +47,9 @@
     /** Monotonic times until which chains are avoided, by label. */
     private val avoidedChains = ConcurrentHashMap<String, Long>()
 
+    /** Start time of servers that failed for this node and when they did, by id. */
+    private val observedFailures = ConcurrentHashMap<String, Pair<Long, Moment>>()
+
     public val fleet: Fleet get() = snapshot.get().fleet
 
     /** Sets the fleet and discards the cached chains of services whose servers changed. */
@@ -117,7 +120,32 @@
     /** Avoids the server at [address], which another server of [chain] reported as faulty. */
     public fun stageFailed(chain: Chain, address: String) {
         val stage = chain.stages.firstOrNull { it.server.address == address }
-        if (stage == null) chainFailed(chain) else load(stage.server).failed()
+        if (stage == null) chainFailed(chain) else serverFailed(stage.server)
+    }
+
+    /** Avoids [server], which cannot be reached. */
+    public fun serverFailed(server: BackendServer) {
+        observedFailures[server.id] = server.bornMillis to now()
+        load(server).failed()
+    }
+
+    /** Servers that failed for this node within [FailureExchange.LIFETIME]. */
+    public fun observedFailures(): List<FailedServer> {
+        observedFailures.values.removeIf { (_, at) -> now().since(at) > FailureExchange.LIFETIME }
+        return observedFailures.map { (id, failure) ->
+            FailedServer(id, failure.first, now().since(failure.second).inWholeMilliseconds)
+        }
+    }
+
+    /** Avoids servers that failed for other nodes; one that has started again since is used. */
+    public fun avoidReported(failed: List<FailedServer>) {
+        val byId = fleet.byId
+        for (failure in failed) {
+            val server =
+                byId[failure.id]?.takeIf { it.bornMillis == failure.bornMillis } ?: continue
+            val rest = FailureExchange.LIFETIME - failure.age
+            if (rest.isPositive()) load(server).avoid(rest)
+        }
     }
 
     private fun candidates(
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
@@ -28,6 +28,7 @@
  * @param ask sends a question to a node; null if it cannot answer.
  * @param readStore reads the store until cancelled; others follow this node or may do so.
  * @param storeAnswers makes one call to the store.
+ * @param failures failures of backend servers, exchanged with the same questions and answers.
  */
 public class StoreFollower(
     private val own: InstanceId,
@@ -36,6 +37,7 @@
     private val ask: suspend (InstanceId, ByteArray) -> ByteArray?,
     private val readStore: suspend (followed: Boolean) -> Unit,
     private val storeAnswers: suspend () -> Boolean,
+    private val failures: FailureExchange? = null,
     private val now: () -> Moment = Moment::now,
     private val random: Random = Random.Default
 ) {
@@ -60,7 +62,7 @@
     }
 
     /** Answers another node's question from this node's copies. */
-    public fun answer(question: ByteArray): ByteArray? {
+    public fun answer(from: InstanceId, question: ByteArray): ByteArray? {
         val asked = try {
             RelayCodec.question(question)
         } catch (e: SerializationException) {
@@ -69,8 +71,10 @@
         }
         val known = copies.filter { it.kind in asked.versions }
             .mapNotNull { it.answer(asked.versions[it.kind]?.takeIf { version -> version >= 0 }) }
+        failures?.record(from, asked.failed)
         // Followers that take each other for a source would agree on an old state.
-        return RelayCodec.encode(if (reads) known else known.map { it.copy(failing = true) })
+        val kinds = if (reads) known else known.map { it.copy(failing = true) }
+        return RelayCodec.encode(RelayAnswer(kinds, failures?.agreed().orEmpty()))
     }
 
     private suspend fun step(scope: CoroutineScope) {
@@ -110,17 +114,20 @@
 
     private suspend fun askOne(node: InstanceId): Boolean {
         val askedAt = now()
-        val question = RelayQuestion(copies.associate { it.kind to (it.version ?: UNKNOWN) })
+        val versions = copies.associate { it.kind to (it.version ?: UNKNOWN) }
+        val question = RelayQuestion(versions, failures?.observed().orEmpty())
         val bytes = withTimeoutOrNull(ASK_TIMEOUT) { ask(node, RelayCodec.encode(question)) }
             ?: return false
         return try {
-            val answers = RelayCodec.answer(bytes).associateBy { it.kind }
+            val answer = RelayCodec.answer(bytes)
+            failures?.apply(answer.failed)
+            val answers = answer.kinds.associateBy { it.kind }
             copies.all { copy ->
-                val answer = answers[copy.kind] ?: return false
+                val found = answers[copy.kind] ?: return false
                 val before = copy.version ?: UNKNOWN
-                copy.apply(answer, askedAt)
-                val age = answer.ageMillis?.milliseconds
-                answer.version >= before && !answer.failing && age != null &&
+                copy.apply(found, askedAt)
+                val age = found.ageMillis?.milliseconds
+                found.version >= before && !found.failing && age != null &&
                     age <= copy.longestWait + AGE_MARGIN
             }
         } catch (e: SerializationException) {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -170,7 +170,8 @@
         val faulty = answer.faultyAddress
         when {
             faulty != null -> selector.stageFailed(chain, faulty)
-            !answer.reached || answer.misdirected -> selector.load(chain.first).failed()
+            !answer.reached -> selector.serverFailed(chain.first)
+            answer.misdirected -> selector.load(chain.first).failed()
             else -> selector.chainFailed(chain)
         }
     }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/KindCopyTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/KindCopyTest.kt
@@ -35,7 +35,9 @@
 
         fun follow(source: Node, askedAt: Moment = clock.now()) {
             val answer = checkNotNull(source.copy.answer(copy.version))
-            val sent = RelayCodec.answer(RelayCodec.encode(listOf(answer))).single()
+            val sent = RelayCodec.answer(
+                RelayCodec.encode(RelayAnswer(listOf(answer)))
+            ).kinds.single()
             copy.apply(sent, askedAt)
         }
     }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StoreFollowerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StoreFollowerTest.kt
@@ -50,7 +50,7 @@
                     delay(2.milliseconds)
                     val node = nodes.single { it.name == to.value }
                     if (to.value in paused || to.value in dead) awaitCancellation()
-                    node.follower.answer(question)
+                    node.follower.answer(InstanceId(name), question)
                 },
                 readStore = { readStore() },
                 storeAnswers = { call() != null },
@@ -166,6 +166,6 @@
 
     @Test
     fun `a question that cannot be read gets no answer`() = centre {
-        assertNull(nodes[0].follower.answer(byteArrayOf(1, 2, 3)))
+        assertNull(nodes[0].follower.answer(InstanceId("n2"), byteArrayOf(1, 2, 3)))
     }
 }
