--- a/serving/src/main/kotlin/org/bramleytrestle/serving/Watchdog.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Watchdog.kt
@@ -55,7 +55,7 @@
     internal companion object {
         private val log = KotlinLogging.logger {}
 
-        /** A twentieth of [Route.DEFAULT_MAX_EVENT_GAP]. */
-        val TICK = 10.milliseconds
+        /** A tenth of [Route.DEFAULT_MAX_EVENT_GAP]; each tick wakes the process. */
+        val TICK = 20.milliseconds
     }
 }
