--- a/store/src/main/kotlin/org/bramleytrestle/store/StoreHttpClient.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/StoreHttpClient.kt
@@ -15,6 +15,7 @@
 import okhttp3.Call
 import okhttp3.Callback
 import okhttp3.ConnectionPool
+import okhttp3.ConnectionSpec
 import okhttp3.Dispatcher
 import okhttp3.EventListener
 import okhttp3.HttpUrl
@@ -31,10 +32,14 @@
  *
  * A connection can stop responding permanently. Each call therefore has a total time limit of
  * [callTimeout], and a call that times out closes its connection and evicts all idle ones.
+ *
+ * @param cleartextOnly whether the store is never called over TLS. Reading the trusted certificates
+ * then takes no part of the start.
  */
 public class StoreHttpClient(
     public val callTimeout: Duration = 2.seconds,
-    connectTimeout: Duration = 1.seconds
+    connectTimeout: Duration = 1.seconds,
+    cleartextOnly: Boolean = false
 ) : AutoCloseable {
     private val pool = ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS)
     private val dispatcher = Dispatcher().apply {
@@ -52,6 +57,7 @@
             chain.proceed(chain.request()).newBuilder().removeHeader("Retry-After").build()
         }
         .eventListenerFactory { call -> call.request().tag(WriteProgress::class.java)!! }
+        .apply { if (cleartextOnly) connectionSpecs(listOf(ConnectionSpec.CLEARTEXT)) }
         .connectionPool(pool)
         .dispatcher(dispatcher)
         .connectTimeout(connectTimeout.toJavaDuration())
