Resume a stand-in's step before the next one starts

Cause of the EngineServerTest failure seen once beside load: finish() started the next step before it resumed the caller of the one that had ended; with two timer threads the next step could end and be resumed first ([1, 0, 5]).

--- a/standins/src/main/kotlin/org/bramleytrestle/standins/engine/StepScheduler.kt
+++ b/standins/src/main/kotlin/org/bramleytrestle/standins/engine/StepScheduler.kt
@@ -55,8 +55,9 @@
             queue.minByOrNull { it.priority.get() }?.also { queue.remove(it) }
                 .also { if (it == null) active-- }
         }
-        next?.let(::start)
+        // Two threads run the timer: a step that starts before this one is resumed may end first.
         step.continuation.resume(Unit)
+        next?.let(::start)
     }
 
     private companion object {
