Keep a follower alive after an unexpected exception

An exception while reading would have ended the follower and let the node's settings age until it refuses all requests; it is logged now and the reading starts again (test fails without the change).

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
@@ -5,6 +5,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
@@ -56,11 +57,22 @@
     /** Follows or reads until cancelled. */
     public suspend fun run(): Unit = coroutineScope {
         while (true) {
-            step(this)
+            guarded("step") { step(this) }
             delay(ASK_INTERVAL)
         }
     }
 
+    /** Keeps the follower alive: without it, the node's settings would age until it refuses all. */
+    private suspend fun guarded(what: String, action: suspend () -> Unit) {
+        try {
+            action()
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            log.error(e) { "store: $what failed, tried again in $ASK_INTERVAL" }
+        }
+    }
+
     /** Answers another node's question from this node's copies. */
     public fun answer(from: InstanceId, question: ByteArray): ByteArray? {
         val asked = try {
@@ -90,7 +102,7 @@
             stopReading()
             return
         }
-        if (reading != null) return
+        if (reading?.isActive == true) return
         // A node without any copy lists at once; the others spread their tests of the store.
         if (now().monotonicNanos - nextTest.monotonicNanos < 0) return
         nextTest = now() + TEST_INTERVAL * (1 + random.nextDouble())
@@ -141,7 +153,7 @@
         reading?.cancel()
         readsForOthers = followed
         log.info { "store: this node reads the store, $reason" }
-        reading = scope.launch { readStore(followed) }
+        reading = scope.launch { guarded("reading") { readStore(followed) } }
         readingSince = now()
         source = null
         reads = true
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StoreFollowerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StoreFollowerTest.kt
@@ -63,8 +63,14 @@
                 return storeVersion.takeUnless { storeDown || name in cutFromStore }
             }
 
+            var failNextRead = false
+
             private suspend fun readStore() {
                 while (true) {
+                    if (failNextRead) {
+                        failNextRead = false
+                        error("cannot read")
+                    }
                     val sentAt = moment()
                     val found = if (name in paused) null else call()
                     if (found == null) {
@@ -164,6 +170,12 @@
         assertTrue(checkNotNull(nodes[5].copy.age) >= 5.5.seconds)
     }
 
+    @Test
+    fun `a reader whose reading fails unexpectedly starts it again`() = centre {
+        nodes[0].failNextRead = true
+        assertTrue(worstLag(5.seconds) <= 2)
+    }
+
     @Test
     fun `a question that cannot be read gets no answer`() = centre {
         assertNull(nodes[0].follower.answer(InstanceId("n2"), byteArrayOf(1, 2, 3)))
