--- a/serving/src/test/kotlin/org/bramleytrestle/serving/ServerSelectorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/ServerSelectorTest.kt
@@ -18,17 +18,20 @@
         return servers.map { it.copy(held = plan[it.id]) }
     }
 
+    private var searches = 0
+
+    private fun countingSelector() = ServerSelector(
+        "a",
+        now = clock::now,
+        findChains = { model, servers ->
+            searches++
+            ChainFinder(model).find(servers)
+        }
+    )
+
     @Test
     fun `chains are searched once per change of the service's servers`() {
-        var searches = 0
-        val selector = ServerSelector(
-            "a",
-            now = clock::now,
-            findChains = { model, servers ->
-                searches++
-                ChainFinder(model).find(servers)
-            }
-        )
+        val selector = countingSelector()
         val servers = placedFleet("a", "b")
         // Entries of another service change, and the same entries are published again.
         for (round in 1..20) {
@@ -43,15 +46,7 @@
 
     @Test
     fun `a changed model profile makes the chains be searched again`() {
-        var searches = 0
-        val selector = ServerSelector(
-            "a",
-            now = clock::now,
-            findChains = { model, servers ->
-                searches++
-                ChainFinder(model).find(servers)
-            }
-        )
+        val selector = countingSelector()
         selector.update(Fleet(placedFleet("a")))
         selector.chain(service, emptySet())
         selector.chain(service.copy(model = model.copy(meanTokens = 500)), emptySet())
