--- a/serving/src/main/kotlin/org/bramleytrestle/serving/LayerPlanner.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/LayerPlanner.kt
@@ -250,8 +250,8 @@
             compareBy({ it.stepTimeFactor }, { -it.megabytes }, { it.id })
 
         /**
-         * Concurrent requests for which a copy keeps memory. More of them on one chain would slow
-         * each other below the pace that readers accept; the memory serves further copies instead.
+         * Concurrent requests for which a copy keeps memory. Memory beyond that serves further
+         * copies, which replace each other when a server fails.
          */
         const val TARGET_REQUESTS = 125.0
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ModelProfile.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ModelProfile.kt
@@ -14,8 +14,8 @@
  * @property meanTokens mean number of tokens of a request, prompt and answer together.
  * @property meanAnswerTokens part of [meanTokens] that a server generates.
  * @property activationBytes what a server forwards to the next one for each token.
- * @property crossCentreMegabits bandwidth per second between data centres that all servers share;
- * 0 if it is not limited.
+ * @property crossCentreMegabits bandwidth between data centres that all servers share, in megabits
+ * per second; 0 if it is not limited.
  * @property loadTime time in which a server loads the weights of all layers.
  */
 public data class ModelProfile(
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
@@ -18,8 +18,8 @@
 /**
  * Keeps this node's [copies] of store objects up to date with few calls to the store.
  *
- * The first [READERS] nodes of a data centre read the store; the others ask one of them twice a
- * second. An answer states how long ago the store confirmed it, so a source that is cut off,
+ * The first [READERS] nodes of a data centre read the store; the others ask one of them every
+ * [ASK_INTERVAL]. An answer states how long ago the store confirmed it, so a source that is cut off,
  * paused or late is noticed, and the node asks the next one, and then the store itself. While the
  * store does not answer this node either, it keeps asking its sources and tests the store at a
  * bounded rate.
