--- a/routing/src/main/kotlin/org/bramleytrestle/routing/RetryBudget.kt
+++ b/routing/src/main/kotlin/org/bramleytrestle/routing/RetryBudget.kt
@@ -14,6 +14,20 @@
     private val resumptions = IntArray(SLOTS)
     private var newestSlot = 0L
 
+    /** First attempts in the window. */
+    public val firstCount: Int
+        @Synchronized get() {
+            slot()
+            return firstAttempts.sum()
+        }
+
+    /** Retries in the window. */
+    public val retryCount: Int
+        @Synchronized get() {
+            slot()
+            return retries.sum()
+        }
+
     @Synchronized
     public fun recordFirstAttempt() {
         firstAttempts[slot()]++
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RetryBudgets.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RetryBudgets.kt
@@ -1,5 +1,6 @@
 package org.bramleytrestle.serving
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.TimeSource
 import org.bramleytrestle.routing.RetryBudget
@@ -12,25 +13,42 @@
  * @param slack retries per window that all nodes together may send to a service regardless of
  * traffic.
  * @param share fraction of the requests that this node is expected to receive, from 0 to 1.
+ * @param onDecision called for each retry that was asked for, with whether the budget allowed it.
  */
 public class RetryBudgets(
     private val ratio: Double,
     private val slack: Int,
     private val share: () -> Double,
-    private val clock: TimeSource.WithComparableMarks = TimeSource.Monotonic
+    private val clock: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    private val onDecision: (service: String, allowed: Boolean) -> Unit = { _, _ -> }
 ) {
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
 
     public fun countFirst(service: String): Unit = of(service).recordFirstAttempt()
 
-    public fun tryRetry(service: String): Boolean = of(service).tryRetry(
-        ratio * SAFETY_FACTOR,
-        minRetries = (slack * SAFETY_FACTOR * share()).toInt()
-    )
+    public fun tryRetry(service: String): Boolean {
+        val budget = of(service)
+        val share = share()
+        val allowed = budget.tryRetry(
+            ratio * SAFETY_FACTOR,
+            minRetries = (slack * SAFETY_FACTOR * share).toInt()
+        )
+        onDecision(service, allowed)
+        // Denied retries may be as many as requests; the metrics count them.
+        if (allowed) {
+            log.info {
+                "retries: service=$service share=$share retries=${budget.retryCount} " +
+                    "firsts=${budget.firstCount}"
+            }
+        }
+        return allowed
+    }
 
     private fun of(service: String) = budgets.computeIfAbsent(service) { RetryBudget(clock) }
 
     private companion object {
+        val log = KotlinLogging.logger {}
+
         /** Leaves a margin for nodes that few others know and for the sliding of the windows. */
         const val SAFETY_FACTOR = 0.9
     }
