--- /dev/null
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/RetryBudgetsTest.kt
@@ -0,0 +1,59 @@
+package org.bramleytrestle.serving
+
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+class RetryBudgetsTest {
+    /** @property demand whether requests of all nodes fail at this time and ask for retries. */
+    private data class Case(val name: String, val demand: (Duration) -> Boolean)
+
+    private val clock = TestTimeSource()
+    private val start = clock.markNow()
+
+    private fun startNode() = RetryBudgets(RATIO, SLACK, { 1.0 / NODES }, clock)
+
+    /** Guards against a service that gets more retries in some window than all nodes may send. */
+    @Test
+    fun `the retries of all nodes stay within the budget in every window`() {
+        val cases = listOf(
+            Case("failures without end") { true },
+            Case("two bursts of failures in one window") {
+                it.inWholeMilliseconds % 9_600 < 300
+            }
+        )
+        for (case in cases) {
+            // Nodes start at different times, so their windows do not coincide.
+            val nodes = List(NODES) { startNode().also { clock += 130.milliseconds } }
+            val firsts = mutableListOf<Duration>()
+            val retries = mutableListOf<Duration>()
+            repeat(400) {
+                clock += 100.milliseconds
+                val at = start.elapsedNow()
+                for (node in nodes) {
+                    node.countFirst("model")
+                    firsts += at
+                    if (case.demand(at)) repeat(30) { if (node.tryRetry("model")) retries += at }
+                }
+            }
+            for (end in retries.distinct()) {
+                val sent = retries.count { it > end - WINDOW && it <= end }
+                val allowed = RATIO * firsts.count { it > end - WINDOW && it <= end } + SLACK
+                assertTrue(
+                    sent <= allowed,
+                    "${case.name}: $sent retries before $end, at most $allowed"
+                )
+            }
+        }
+    }
+
+    private companion object {
+        const val NODES = 9
+        const val RATIO = 0.2
+        const val SLACK = 202
+        val WINDOW = 10.seconds
+    }
+}
