Withhold the fixed retry allowance from a process that has just started

Callers saw no wrong answer; a service got more retries than all nodes together may send it (BUDGET).

Cause: the counts of the retry budget live in the process, so a node that restarts had its whole part of the fixed allowance again, whatever its earlier process had spent in the same window.

The new case of RetryBudgetsTest failed before: 522 retries in 10 s where 382 are allowed.

Change: a process uses the fixed allowance only after it has run for a window. Until then its retries are bounded by its own requests alone, so that they and those of the earlier process together stay within the bound. Tests that use the fixed allowance start from a budget that has run for a window; their checks are unchanged.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RetryBudgets.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RetryBudgets.kt
@@ -9,6 +9,9 @@
  * This node's part of the retries that all nodes together may send to a service. Nodes do not
  * exchange their retry counts, so the fixed allowance is divided among them.
  *
+ * The counts are lost with the process. An earlier process of this node may have used its part up
+ * to the moment of its end, so the fixed allowance is available only after one window.
+ *
  * @param ratio retries allowed per first attempt.
  * @param slack retries per window that all nodes together may send to a service regardless of
  * traffic.
@@ -22,13 +25,14 @@
     private val clock: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     private val onDecision: (service: String, allowed: Boolean) -> Unit = { _, _ -> }
 ) {
+    private val start = clock.markNow()
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
 
     public fun countFirst(service: String): Unit = of(service).recordFirstAttempt()
 
     public fun tryRetry(service: String): Boolean {
         val budget = of(service)
-        val share = share()
+        val share = if (start.elapsedNow() < RetryBudget.DEFAULT_WINDOW) 0.0 else share()
         val allowed = budget.tryRetry(
             ratio * SAFETY_FACTOR,
             minRetries = (slack * SAFETY_FACTOR * share).toInt()
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
 import org.bramleytrestle.model.ErrorKind
 import org.bramleytrestle.model.LayerRange
 
@@ -18,6 +19,12 @@
     }
 }
 
+/** Budgets of a node that has run for a window and may use its whole allowance. */
+internal fun establishedBudgets(ratio: Double, slack: Int): RetryBudgets {
+    val time = TestTimeSource()
+    return RetryBudgets(ratio, slack, { 1.0 }, time).also { time += 11.seconds }
+}
+
 /** Model and accelerators of the users' first deployment. */
 internal val model = ModelProfile(
     layers = 80,
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PlainExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PlainExecutorTest.kt
@@ -23,7 +23,7 @@
         val clock = FakeClock()
         val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
         selector.update(Fleet(listOf("x", "y", "z").map(::plainServer)))
-        val budgets = RetryBudgets(1.0, 10, { 1.0 })
+        val budgets = establishedBudgets(1.0, 10)
         val reply = RecordedReply()
         val executor = PlainExecutor(selector, client, budgets, Watchdog(clock::now), clock::now)
         executor.run(
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/RequestHandlerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/RequestHandlerTest.kt
@@ -9,7 +9,7 @@
     private val client = ScriptedClient()
     private val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
     private val watchdog = Watchdog(clock::now)
-    private val budgets = RetryBudgets(0.2, 10, { 1.0 })
+    private val budgets = establishedBudgets(0.2, 10)
     private val stalls = StallInspector(selector, { null }, { _, _ -> }, clock::now)
 
     private fun handle(shares: List<ServiceShare>): List<String> {
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/RetryBudgetsTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/RetryBudgetsTest.kt
@@ -8,8 +8,15 @@
 import kotlin.time.TestTimeSource
 
 class RetryBudgetsTest {
-    /** @property demand whether requests of all nodes fail at this time and ask for retries. */
-    private data class Case(val name: String, val demand: (Duration) -> Boolean)
+    /**
+     * @property demand whether requests of all nodes fail at this time and ask for retries.
+     * @property restartAt time at which all nodes are killed and start again.
+     */
+    private data class Case(
+        val name: String,
+        val restartAt: Duration? = null,
+        val demand: (Duration) -> Boolean
+    )
 
     private val clock = TestTimeSource()
     private val start = clock.markNow()
@@ -23,16 +30,19 @@
             Case("failures without end") { true },
             Case("two bursts of failures in one window") {
                 it.inWholeMilliseconds % 9_600 < 300
-            }
+            },
+            Case("all nodes restart during failures", restartAt = 15.seconds) { true }
         )
         for (case in cases) {
             // Nodes start at different times, so their windows do not coincide.
-            val nodes = List(NODES) { startNode().also { clock += 130.milliseconds } }
+            val nodes = MutableList(NODES) { startNode().also { clock += 130.milliseconds } }
+            val begin = clock.markNow()
             val firsts = mutableListOf<Duration>()
             val retries = mutableListOf<Duration>()
             repeat(400) {
                 clock += 100.milliseconds
                 val at = start.elapsedNow()
+                if (begin.elapsedNow() == case.restartAt) nodes.replaceAll { startNode() }
                 for (node in nodes) {
                     node.countFirst("model")
                     firsts += at
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -27,7 +27,7 @@
         val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
         val service = BackendService("model", model.copy(layerMegabytes = 500.0))
         selector.update(Fleet(servers))
-        val budgets = RetryBudgets(1.0, 10, { 1.0 })
+        val budgets = establishedBudgets(1.0, 10)
         val reply = RecordedReply()
         val executor = StreamExecutor(
             selector,
@@ -158,7 +158,7 @@
             watchdog.check()
         }
         val stalls = StallInspector(selector, { null }, { _, task -> task() }, clock::now)
-        val budgets = RetryBudgets(0.0, case.slack, { 1.0 })
+        val budgets = establishedBudgets(0.0, case.slack)
         val executor = StreamExecutor(
             selector,
             client,
