Count retries in the window that the deployment sets

Callers see no wrong answer; with a window longer than 10 s a service would get more retries than all nodes together may send it (BUDGET).

Cause: the window of the retry budget was fixed at 10 s, whatever the deployment's bounds say. The deployments at hand all set 10 s.

Evidence: the new case of RetryBudgetsTest (window of 25 s) failed before with 729 retries where 652 are allowed.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RetryBudgets.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RetryBudgets.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 import kotlin.time.TimeSource
 import org.bramleytrestle.routing.RetryBudget
 
@@ -15,12 +16,14 @@
  * @param ratio retries allowed per first attempt.
  * @param slack retries per window that all nodes together may send to a service regardless of
  * traffic.
+ * @param window length of the window in which retries and first attempts are counted.
  * @param share fraction of the requests that this node is expected to receive, from 0 to 1.
  * @param onDecision called for each retry that was asked for, with whether the budget allowed it.
  */
 public class RetryBudgets(
     private val ratio: Double,
     private val slack: Int,
+    private val window: Duration,
     private val share: () -> Double,
     private val clock: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     private val onDecision: (service: String, allowed: Boolean) -> Unit = { _, _ -> }
@@ -32,7 +35,7 @@
 
     public fun tryRetry(service: String): Boolean {
         val budget = of(service)
-        val share = if (start.elapsedNow() < RetryBudget.DEFAULT_WINDOW) 0.0 else share()
+        val share = if (start.elapsedNow() < window) 0.0 else share()
         val allowed = budget.tryRetry(
             ratio * SAFETY_FACTOR,
             minRetries = (slack * SAFETY_FACTOR * share).toInt()
@@ -48,7 +51,7 @@
         return allowed
     }
 
-    private fun of(service: String) = budgets.computeIfAbsent(service) { RetryBudget(clock) }
+    private fun of(service: String) = budgets.computeIfAbsent(service) { RetryBudget(clock, window) }
 
     private companion object {
         val log = KotlinLogging.logger {}
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServingBounds.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServingBounds.kt
@@ -3,6 +3,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import org.bramleytrestle.routing.RetryBudget
 
 /**
  * Limits set by the deployment.
@@ -10,12 +11,14 @@
  * @property retryRatio retries per request that all nodes together may send to a service.
  * @property retrySlack retries per window that all nodes together may send to a service regardless
  * of traffic.
+ * @property retryWindow length of that window; it may begin at any time.
  * @property keyRevocation time after which no node may accept a removed key.
  * @property processGrace time between the stop request and the forced end of the process.
  */
 public data class ServingBounds(
     val retryRatio: Double = 0.2,
     val retrySlack: Int = 0,
+    val retryWindow: Duration = RetryBudget.DEFAULT_WINDOW,
     val keyRevocation: Duration = 5.seconds,
     val processGrace: Duration = 8.seconds
 ) {
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
@@ -22,7 +22,7 @@
 /** Budgets of a node that has run for a window and may use its whole allowance. */
 internal fun establishedBudgets(ratio: Double, slack: Int): RetryBudgets {
     val time = TestTimeSource()
-    return RetryBudgets(ratio, slack, { 1.0 }, time).also { time += 11.seconds }
+    return RetryBudgets(ratio, slack, 10.seconds, { 1.0 }, time).also { time += 11.seconds }
 }
 
 /** Model and accelerators of the users' first deployment. */
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/RetryBudgetsTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/RetryBudgetsTest.kt
@@ -9,11 +9,13 @@
 
 class RetryBudgetsTest {
     /**
+     * @property window length of the deployment's window.
      * @property demand whether requests of all nodes fail at this time and ask for retries.
      * @property restartAt time at which all nodes are killed and start again.
      */
     private data class Case(
         val name: String,
+        val window: Duration = 10.seconds,
         val restartAt: Duration? = null,
         val demand: (Duration) -> Boolean
     )
@@ -21,7 +23,8 @@
     private val clock = TestTimeSource()
     private val start = clock.markNow()
 
-    private fun startNode() = RetryBudgets(RATIO, SLACK, { 1.0 / NODES }, clock)
+    private fun startNode(window: Duration) =
+        RetryBudgets(RATIO, SLACK, window, { 1.0 / NODES }, clock)
 
     /** Guards against a service that gets more retries in some window than all nodes may send. */
     @Test
@@ -31,18 +34,24 @@
             Case("two bursts of failures in one window") {
                 it.inWholeMilliseconds % 9_600 < 300
             },
-            Case("all nodes restart during failures", restartAt = 15.seconds) { true }
+            Case("all nodes restart during failures", restartAt = 15.seconds) { true },
+            Case("a longer window", window = 25.seconds) { true }
         )
         for (case in cases) {
             // Nodes start at different times, so their windows do not coincide.
-            val nodes = MutableList(NODES) { startNode().also { clock += 130.milliseconds } }
+            val nodes =
+                MutableList(NODES) { startNode(case.window).also { clock += 130.milliseconds } }
             val begin = clock.markNow()
             val firsts = mutableListOf<Duration>()
             val retries = mutableListOf<Duration>()
             repeat(400) {
                 clock += 100.milliseconds
                 val at = start.elapsedNow()
-                if (begin.elapsedNow() == case.restartAt) nodes.replaceAll { startNode() }
+                if (begin.elapsedNow() ==
+                    case.restartAt
+                ) {
+                    nodes.replaceAll { startNode(case.window) }
+                }
                 for (node in nodes) {
                     node.countFirst("model")
                     firsts += at
@@ -50,8 +59,8 @@
                 }
             }
             for (end in retries.distinct()) {
-                val sent = retries.count { it > end - WINDOW && it <= end }
-                val allowed = RATIO * firsts.count { it > end - WINDOW && it <= end } + SLACK
+                val sent = retries.count { it > end - case.window && it <= end }
+                val allowed = RATIO * firsts.count { it > end - case.window && it <= end } + SLACK
                 assertTrue(
                     sent <= allowed,
                     "${case.name}: $sent retries before $end, at most $allowed"
@@ -64,6 +73,5 @@
         const val NODES = 9
         const val RATIO = 0.2
         const val SLACK = 202
-        val WINDOW = 10.seconds
     }
 }
