--- a/serving/src/main/kotlin/org/bramleytrestle/serving/CallerRequest.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/CallerRequest.kt
@@ -9,6 +9,7 @@
  * @property headers headers that are forwarded to the server.
  * @property timeout time that the caller waits for the response, counted from [receivedAt].
  * @property lastEvent number of the last stream event that the caller has already received.
+ * @property prompt parts of the prompt, if the caller names them.
  * @property disconnected whether the caller is known to have closed its connection.
  */
 @Suppress("LongParameterList")
@@ -23,6 +24,7 @@
     public val timeout: Duration? = null,
     public val key: String? = null,
     public val lastEvent: Long? = null,
+    public val prompt: Prompt? = null,
     public val disconnected: () -> Boolean = { false }
 ) {
     public val path: String get() = target.substringBefore('?')
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestHandler.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestHandler.kt
@@ -19,7 +19,7 @@
     public fun handle(request: CallerRequest, reply: CallerReply) {
         val config = configs.config
         val age = configs.confirmationAge()
-        val trace = RequestTrace(request.id, config?.version, age)
+        val trace = RequestTrace(request.id, config?.version, age, request.prompt)
         val outcome = try {
             if (config == null || age == null) {
                 refuse(
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestTrace.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestTrace.kt
@@ -10,7 +10,8 @@
 public class RequestTrace(
     public val id: String,
     public val configVersion: Long?,
-    public val configAge: Duration?
+    public val configAge: Duration?,
+    public val prompt: Prompt? = null
 ) {
     private val attempts = StringBuilder()
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RetryBudgets.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RetryBudgets.kt
@@ -51,7 +51,9 @@
         return allowed
     }
 
-    private fun of(service: String) = budgets.computeIfAbsent(service) { RetryBudget(clock, window) }
+    private fun of(service: String) = budgets.computeIfAbsent(service) {
+        RetryBudget(clock, window)
+    }
 
     private companion object {
         val log = KotlinLogging.logger {}
