Withhold prompts whose parts crash the servers that answer them

Callers saw broken streams and 503: requests with one prompt part ended the first server of each chain in turn, and chains were incomplete for seconds after each crash.

Cause: nothing related a crash to the request that the server had begun to answer. Each node saw a broken connection, sent the request again to the next chain and told no other node.

Change: a node that sees a connection break before an answer is past its beginning asks the server whether it still runs. If it has ended, the parts of the prompt that no answer is known of are suspect. The evidence is an object of the store for each prompt, which all nodes copy, so it outlives nodes. Parts are blamed once different prompts ended different servers; parts that occur only together are blamed together. Requests with them are refused as not run and not retryable; a prompt that ended two servers reaches no third one. An answer to a sound part on any node clears it.

--- a/model/src/main/kotlin/org/bramleytrestle/model/ErrorKind.kt
+++ b/model/src/main/kotlin/org/bramleytrestle/model/ErrorKind.kt
@@ -32,6 +32,13 @@
     INVALID_SETTINGS("invalidSettings", 422, Executed.NO, false, "The settings are invalid"),
     RATE_LIMITED("rateLimited", 429, Executed.NO, true, "The organisation's limit is reached"),
     INTERNAL("internal", 500, Executed.UNKNOWN, false, "The node failed"),
+    PROMPT_WITHHELD(
+        "promptWithheld",
+        500,
+        Executed.NO,
+        false,
+        "A part of the prompt crashes backend servers"
+    ),
     BACKEND_FAILED("backendFailed", 502, Executed.UNKNOWN, false, "The backend servers failed"),
     OUTCOME_UNKNOWN("outcomeUnknown", 502, Executed.UNKNOWN, false, "The outcome is unknown"),
     NO_ROUTE("noRoute", 503, Executed.NO, true, "No backend server can take the request"),
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
@@ -16,6 +16,7 @@
     private val task: RequestTask,
     private val active: ActiveRequest,
     private val budgets: RetryBudgets,
+    private val quarantine: PromptQuarantine,
     private val minRemaining: Duration,
     private val now: () -> Moment
 ) {
@@ -35,6 +36,9 @@
     private var serverError: ServerReply.Complete? = null
     var lastReason = "no server is ready"
 
+    /** Whether the request must not reach a server, because its prompt may crash it. */
+    private val withheld: Boolean get() = quarantine.blocks(task.request.prompt)
+
     val remaining: Duration get() = (task.deadlineNanos - now().monotonicNanos).nanoseconds
 
     /** Whether a server that has not received the request yet may receive it. */
@@ -48,12 +52,14 @@
         active.cancelCause != CancelCause.DEPARTED &&
         sends < task.route.maxServers * SENDS_PER_SERVER &&
         connectFailures <= MAX_CONNECT_FAILURES &&
-        remaining > minRemaining
+        remaining > minRemaining &&
+        !withheld
 
     fun allows(server: BackendServer): Boolean = canUseNewServer || server.id in servers
 
     /** Admits the next attempt: the first one always, a later one if the retry budget allows. */
     fun acquire(): Boolean {
+        if (withheld) return false
         val reserved = retryReserved
         retryReserved = false
         return reserved || sends == 0 || budgets.tryRetry(task.service.name)
@@ -87,6 +93,7 @@
         get() {
             val late = active.cancelCause == CancelCause.DEADLINE || remaining <= minRemaining
             return when {
+                !mayHaveRun && withheld -> ErrorKind.PROMPT_WITHHELD
                 !mayHaveRun -> ErrorKind.OVERLOADED
                 late -> ErrorKind.DEADLINE_EXCEEDED
                 else -> ErrorKind.BACKEND_FAILED
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/CrashEvidenceStore.kt
@@ -0,0 +1,102 @@
+package org.bramleytrestle.serving
+
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapBoth
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.delay
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.bramleytrestle.store.ObjectStore
+import org.bramleytrestle.store.StoreError
+import org.bramleytrestle.store.StoredObject
+import org.bramleytrestle.store.StoredObjectList
+import org.bramleytrestle.store.WatchBatch
+
+/**
+ * Crash evidence in the store, where it outlives the nodes that observed it.
+ *
+ * @param onChange called with all evidence after each change.
+ */
+public class CrashEvidenceStore(
+    private val store: ObjectStore,
+    private val onChange: (Collection<CrashEvidence>) -> Unit,
+    private val now: () -> Moment = Moment::now
+) {
+    private val items = HashMap<String, Pair<CrashEvidence, Long>>()
+
+    @Synchronized
+    public fun replace(list: StoredObjectList) {
+        items.clear()
+        list.items.forEach(::put)
+        onChange(items.values.map { it.first })
+    }
+
+    @Synchronized
+    public fun apply(batch: WatchBatch) {
+        for ((item, deleted) in batch.events) if (deleted) items -= item.name else put(item)
+        onChange(items.values.map { it.first })
+    }
+
+    /** Stores [evidence], merged with what is stored; tries again while the store is away. */
+    public suspend fun merge(evidence: CrashEvidence) {
+        val until = evidence.seenMillis + PromptQuarantine.LIFETIME.inWholeMilliseconds
+        var retryDelay = MIN_RETRY_DELAY
+        while (now().wallMillis < until) {
+            val error = tryMerge(evidence) ?: return
+            log.warn { "prompts: storing evidence of prompt=${evidence.prompt} failed: $error" }
+            delay(retryDelay)
+            retryDelay = minOf(retryDelay * 2, MAX_RETRY_DELAY)
+        }
+    }
+
+    /** Deletes the evidence that has expired. */
+    public suspend fun deleteExpired() {
+        val oldest = now().wallMillis - PromptQuarantine.LIFETIME.inWholeMilliseconds
+        val expired = synchronized(this) { items.filterValues { it.first.seenMillis < oldest } }
+        for ((name, item) in expired) {
+            store.delete(KIND, name, item.second).mapBoth(
+                {},
+                { log.info { "prompts: evidence of prompt=$name not deleted: $it" } }
+            )
+        }
+    }
+
+    /** Returns why [evidence] is not stored, or null if it is. */
+    private suspend fun tryMerge(evidence: CrashEvidence): StoreError? {
+        val error = store.create(KIND, evidence.prompt, encode(evidence)).mapBoth({ null }, { it })
+        if (error != StoreError.ALREADY_EXISTS) return error
+        val known = store.get(KIND, evidence.prompt).getOrElse { return it }
+        val merged = decode(known)?.merge(evidence) ?: evidence
+        val value = encode(merged)
+        if (value == known.value) return null
+        return store.update(KIND, evidence.prompt, value, known.version).mapBoth({ null }, { it })
+    }
+
+    private fun put(item: StoredObject) {
+        val evidence = decode(item)
+        if (evidence == null) items -= item.name else items[item.name] = evidence to item.version
+    }
+
+    private fun encode(evidence: CrashEvidence) =
+        Json.encodeToJsonElement(CrashEvidence.serializer(), evidence)
+
+    private fun decode(item: StoredObject): CrashEvidence? = try {
+        Json.decodeFromJsonElement(CrashEvidence.serializer(), item.value)
+            .takeIf { it.prompt == item.name }
+    } catch (e: SerializationException) {
+        log.warn { "prompts: evidence ${item.name} cannot be read, ignored: ${e.message}" }
+        null
+    }
+
+    public companion object {
+        private val log = KotlinLogging.logger {}
+
+        /** Kind of the store objects that hold the evidence, one for each prompt. */
+        public const val KIND: String = "prompt-crashes"
+
+        private val MIN_RETRY_DELAY = 100.milliseconds
+        private val MAX_RETRY_DELAY = 5.seconds
+    }
+}
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
@@ -17,13 +17,14 @@
     private val client: ServerClient,
     private val budgets: RetryBudgets,
     private val watchdog: Watchdog,
+    private val quarantine: PromptQuarantine,
     private val now: () -> Moment = Moment::now
 ) {
     public fun run(task: RequestTask): RequestOutcome {
         val active = watchdog.watch(task.deadlineNanos, task.request.disconnected)
         try {
             budgets.countFirst(task.service.name)
-            val attempts = AttemptTracker(task, active, budgets, MIN_REMAINING, now)
+            val attempts = AttemptTracker(task, active, budgets, quarantine, MIN_REMAINING, now)
             val tried = mutableSetOf<String>()
             while (attempts.canAttempt() && attempts.canUseNewServer) {
                 val server = selector.server(task.service.name, tried) ?: break
@@ -88,6 +89,7 @@
                     return null
                 }
                 load.succeeded()
+                quarantine.onAnswered(task.request.prompt)
                 task.reply.answer(answer)
                 return RequestOutcome.answered("status ${answer.status}")
             }
@@ -104,24 +106,42 @@
                 if (active.cancelCause == null || active.cancelCause == CancelCause.STALLED) {
                     load.failed()
                 }
+                if (active.cancelCause == null) {
+                    quarantine.onBroken(task.request.prompt, server, begun = false)
+                }
                 if (!task.route.idempotent) return attempts.refuse(ErrorKind.OUTCOME_UNKNOWN)
             }
-            is ServerReply.Stream -> return relay(task, answer)
+            is ServerReply.Stream -> return relay(task, answer, server, active)
         }
         return null
     }
 
     /** Forwards the stream of a service without layers; it cannot be resumed on another server. */
-    private fun relay(task: RequestTask, events: ServerReply.Stream): RequestOutcome {
+    private fun relay(
+        task: RequestTask,
+        events: ServerReply.Stream,
+        server: BackendServer,
+        active: ActiveRequest
+    ): RequestOutcome {
         task.reply.beginStream(events)
+        var count = 0
         try {
-            while (true) task.reply.event(events.next() ?: break)
+            while (true) {
+                task.reply.event(events.next() ?: break)
+                if (++count == PromptQuarantine.BEGINNING_EVENTS) {
+                    quarantine.onAnswered(task.request.prompt)
+                }
+            }
         } catch (e: CallerReply.CallerDisconnectedException) {
             throw e
         } catch (e: IOException) {
+            if (count < PromptQuarantine.BEGINNING_EVENTS && active.cancelCause == null) {
+                quarantine.onBroken(task.request.prompt, server, begun = true)
+            }
             task.reply.abort()
             return RequestOutcome.failed(ErrorKind.BACKEND_FAILED, "stream interrupted: $e")
         }
+        quarantine.onAnswered(task.request.prompt)
         task.reply.endStream()
         return RequestOutcome.answered("stream")
     }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestHandler.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestHandler.kt
@@ -11,6 +11,7 @@
     private val lifecycle: NodeLifecycle,
     private val plain: PlainExecutor,
     private val streams: StreamExecutor,
+    private val quarantine: PromptQuarantine,
     private val onEnd: (RequestTrace, RequestOutcome, Duration) -> Unit,
     private val now: () -> Moment = Moment::now
 ) {
@@ -57,6 +58,8 @@
             keyRequired && organisation == null -> Refusal(ErrorKind.UNAUTHENTICATED, "unknown key")
             lifecycle.refusesStreams && route.kind == RequestKind.STREAM ->
                 Refusal(ErrorKind.LEAVING, "the node is shutting down")
+            request.prompt != null && !quarantine.isLoaded ->
+                Refusal(ErrorKind.PLATFORM_UNAVAILABLE, "crash evidence not loaded yet")
             request.body.size > config.limits.bodyBytes ->
                 Refusal(ErrorKind.BODY_TOO_LARGE, "the body is too large")
             else -> null
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -16,6 +16,7 @@
     private val budgets: RetryBudgets,
     private val watchdog: Watchdog,
     private val stalls: StallInspector,
+    private val quarantine: PromptQuarantine,
     private val now: () -> Moment = Moment::now,
     private val pause: (Duration) -> Unit = { Thread.sleep(it.inWholeMilliseconds) }
 ) {
@@ -42,7 +43,10 @@
 
     public fun run(task: RequestTask): RequestOutcome {
         val active = watchdog.watch(task.deadlineNanos, task.request.disconnected)
-        val progress = Progress(task, AttemptTracker(task, active, budgets, MIN_REMAINING, now))
+        val progress = Progress(
+            task,
+            AttemptTracker(task, active, budgets, quarantine, MIN_REMAINING, now)
+        )
         try {
             budgets.countFirst(task.service.name)
             progress.attempts.lastReason = "no chain covers the model"
@@ -156,6 +160,9 @@
             }
             is ServerReply.NotRun -> recordNotRun(task, answer, chain)
             is ServerReply.Failed -> {
+                if (active.cancelCause == null) {
+                    quarantine.onBroken(task.request.prompt, chain.first, begun = false)
+                }
                 if (!recordInterruption(task, chain, progress, active, answer.reason)) {
                     return finish(task, progress)
                 }
@@ -205,7 +212,9 @@
                 if (!isNext(event, progress)) continue
                 task.reply.event(event)
                 progress.lastEvent = event.number ?: progress.lastEvent
-                count++
+                if (++count == PromptQuarantine.BEGINNING_EVENTS) {
+                    quarantine.onAnswered(task.request.prompt)
+                }
             }
         } catch (e: CallerReply.CallerDisconnectedException) {
             task.trace.result("caller disconnected after $count events")
@@ -215,11 +224,15 @@
             if (active.cancelCause == CancelCause.STALLED) {
                 nextEventTimeout.record(now().since(waitStart))
             }
+            if (count < PromptQuarantine.BEGINNING_EVENTS && active.cancelCause == null) {
+                quarantine.onBroken(task.request.prompt, chain.first, begun = true)
+            }
             val reason = "$e after $count events, longest pause $longest"
             val resumes = recordInterruption(task, chain, progress, active, reason)
             return if (resumes) null else finish(task, progress)
         }
         selector.load(chain.first).succeeded()
+        quarantine.onAnswered(task.request.prompt)
         task.trace.result("complete, $count events, longest pause $longest")
         task.reply.endStream()
         return RequestOutcome.answered("stream")
--- /dev/null
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/SuspectParts.kt
@@ -0,0 +1,41 @@
+package org.bramleytrestle.serving
+
+/**
+ * Finds the parts of prompts that explain crashes of backend servers.
+ *
+ * A part is blamed once different prompts with it have ended different servers. A crash that a
+ * blamed part explains says nothing about the other parts of its prompt.
+ */
+internal object SuspectParts {
+    /**
+     * Groups of parts. Those that all occur in the same crashes cannot be told apart and are blamed
+     * together: a prompt with some of them alone says which of them is sound.
+     */
+    fun blamed(evidence: Collection<CrashEvidence>): Set<Set<String>> {
+        val groups = mutableSetOf<Set<String>>()
+        var unexplained = evidence.toList()
+        while (true) {
+            val crashes = unexplained.flatMap { it.suspects }.distinct()
+                .map { part -> unexplained.filter { part in it.suspects } }
+                .filter(::suffices)
+                .maxByOrNull(::weight) ?: return groups
+            groups += crashes.map { it.suspects }.reduce { a, b -> a intersect b }
+            unexplained = unexplained - crashes.toSet()
+        }
+    }
+
+    private fun suffices(crashes: List<CrashEvidence>): Boolean {
+        val servers = crashes.flatMapTo(mutableSetOf()) { it.servers }
+        return servers.size >= MIN_SERVERS && weight(crashes) >= MIN_WEIGHT
+    }
+
+    private fun weight(crashes: List<CrashEvidence>) =
+        crashes.sumOf { if (it.begun) BEGUN_WEIGHT else WAITING_WEIGHT }
+
+    private const val MIN_SERVERS = 2
+
+    /** Two prompts whose answers had begun, or three that may have been waiting. */
+    private const val MIN_WEIGHT = 6
+    private const val BEGUN_WEIGHT = 3
+    private const val WAITING_WEIGHT = 2
+}
--- /dev/null
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/CrashEvidenceStoreTest.kt
@@ -0,0 +1,72 @@
+package org.bramleytrestle.serving
+
+import com.github.michaelbull.result.getOrElse
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.json.JsonPrimitive
+import org.bramleytrestle.store.StoreError
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class CrashEvidenceStoreTest {
+    private val clock = FakeClock()
+    private val store = MemoryStore()
+    private var known = emptyList<CrashEvidence>()
+    private val evidenceStore =
+        CrashEvidenceStore(store, { known = it.sortedBy(CrashEvidence::prompt) }, clock::now)
+
+    private fun evidence(prompt: String, suspects: Set<String>, server: String) =
+        CrashEvidence(prompt, suspects, setOf(server), true, clock.now().wallMillis)
+
+    private suspend fun read() =
+        evidenceStore.replace(store.list(CrashEvidenceStore.KIND).getOrElse { error("$it") })
+
+    /** Guards against evidence that a concurrent write of another node replaces. */
+    @Test
+    fun `evidence of several nodes on one prompt is merged`() = runTest {
+        evidenceStore.merge(evidence("p", setOf("f", "d"), "s1"))
+        var others = 1
+        store.beforeWrite = {
+            if (others-- > 0) {
+                val other = CrashEvidenceStore(store, {}, clock::now)
+                launch { other.merge(evidence("p", setOf("f", "d"), "s3")) }
+                testScheduler.runCurrent()
+            }
+        }
+        evidenceStore.merge(evidence("p", setOf("d"), "s2"))
+        read()
+        val merged = evidence("p", setOf("d"), "s1").copy(servers = setOf("s1", "s2", "s3"))
+        assertEquals(listOf(merged), known)
+    }
+
+    /** Guards against evidence that is lost because the store was away for a moment. */
+    @Test
+    fun `evidence is stored once the store is back`() = runTest {
+        store.failure = StoreError.UNAVAILABLE
+        val writing = launch { evidenceStore.merge(evidence("p", setOf("d"), "s1")) }
+        advanceTimeBy(3.seconds)
+        store.failure = null
+        writing.join()
+        read()
+        assertEquals(listOf("p"), known.map { it.prompt })
+    }
+
+    /** Guards against an object of another writer that hides the evidence of the nodes. */
+    @Test
+    fun `objects that cannot be read are ignored and expired evidence is deleted`() = runTest {
+        store.put(CrashEvidenceStore.KIND, "odd", JsonPrimitive(17))
+        evidenceStore.merge(evidence("old", setOf("d"), "s1"))
+        clock.advance(PromptQuarantine.LIFETIME)
+        clock.advance(1.seconds)
+        evidenceStore.merge(evidence("new", setOf("d"), "s2"))
+        read()
+        assertEquals(listOf("new", "old"), known.map { it.prompt })
+        evidenceStore.deleteExpired()
+        read()
+        assertEquals(listOf("new"), known.map { it.prompt })
+    }
+}
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
@@ -25,6 +25,9 @@
     return RetryBudgets(ratio, slack, 10.seconds, { 1.0 }, time).also { time += 11.seconds }
 }
 
+/** A quarantine that has no evidence and does not look for any. */
+internal fun emptyQuarantine() = PromptQuarantine({ false }, { _, _ -> }, {})
+
 /** Model and accelerators of the users' first deployment. */
 internal val model = ModelProfile(
     layers = 80,
@@ -76,6 +79,7 @@
     id: String = "r1",
     lastEvent: Long? = null,
     timeout: Duration = 20.seconds,
+    prompt: Prompt? = null,
     at: Moment
 ) = CallerRequest(
     id = id,
@@ -86,7 +90,8 @@
     body = ByteArray(0),
     receivedAt = at,
     timeout = timeout,
-    lastEvent = lastEvent
+    lastEvent = lastEvent,
+    prompt = prompt
 )
 
 internal fun route(kind: RequestKind, servers: Int = 2, resumable: Boolean = false) = Route(
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PlainExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PlainExecutorTest.kt
@@ -19,16 +19,27 @@
     private val unreachable = ServerReply.NotRun("no connection", reached = false)
     private val noAnswer = ServerReply.Failed("reset")
 
-    private fun run(kind: RequestKind, client: ScriptedClient): List<String> {
+    private fun run(
+        kind: RequestKind,
+        client: ScriptedClient,
+        quarantine: PromptQuarantine = emptyQuarantine()
+    ): List<String> {
         val clock = FakeClock()
         val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
         selector.update(Fleet(listOf("x", "y", "z").map(::plainServer)))
         val budgets = establishedBudgets(1.0, 10)
         val reply = RecordedReply()
-        val executor = PlainExecutor(selector, client, budgets, Watchdog(clock::now), clock::now)
+        val executor = PlainExecutor(
+            selector,
+            client,
+            budgets,
+            Watchdog(clock::now),
+            quarantine,
+            clock::now
+        )
         executor.run(
             RequestTask(
-                request(at = clock.now()),
+                request(prompt = Prompt(listOf("f", "d"), "own"), at = clock.now()),
                 reply,
                 route(kind),
                 BackendService("desk"),
@@ -69,4 +80,23 @@
             assertEquals(servers, client.calls.map { it.server.id }.distinct().size, name)
         }
     }
+
+    /** Guards against crashes that are not related to their prompts on services without layers. */
+    @Test
+    fun `a connection that breaks at the beginning of an answer is reported with its prompt`() {
+        val cases = listOf(
+            noAnswer to 1,
+            events(LongRange.EMPTY, interrupted = true) to 1,
+            events(1..2L, interrupted = true) to 1,
+            events(1..3L, interrupted = true) to 0,
+            events(1..2L) to 0,
+            ok to 0
+        )
+        for ((i, case) in cases.withIndex()) {
+            var checked = 0
+            val quarantine = PromptQuarantine({ false }, { _, _ -> checked++ }, {})
+            run(RequestKind.STREAM, ScriptedClient(case.first), quarantine)
+            assertEquals(case.second, checked, "case $i")
+        }
+    }
 }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/RequestHandlerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/RequestHandlerTest.kt
@@ -12,7 +12,11 @@
     private val budgets = establishedBudgets(0.2, 10)
     private val stalls = StallInspector(selector, { null }, { _, _ -> }, clock::now)
 
-    private fun handle(shares: List<ServiceShare>): List<String> {
+    private fun handle(
+        shares: List<ServiceShare>,
+        prompt: Prompt? = null,
+        quarantine: PromptQuarantine = emptyQuarantine()
+    ): List<String> {
         val route = route(RequestKind.AT_MOST_ONCE).copy(shares = shares)
         val service = BackendService("desk", null)
         val configs = ConfigHolder(clock::now)
@@ -22,13 +26,22 @@
             configs,
             ServingBounds(),
             NodeLifecycle(ServingBounds().processGrace, clock::now),
-            PlainExecutor(selector, client, budgets, watchdog, clock::now),
-            StreamExecutor(selector, client, budgets, watchdog, stalls, clock::now),
+            PlainExecutor(selector, client, budgets, watchdog, emptyQuarantine(), clock::now),
+            StreamExecutor(
+                selector,
+                client,
+                budgets,
+                watchdog,
+                stalls,
+                emptyQuarantine(),
+                clock::now
+            ),
+            quarantine,
             onEnd = { _: RequestTrace, _: RequestOutcome, _: Duration -> },
             now = clock::now
         )
         val reply = RecordedReply()
-        handler.handle(request(at = clock.now()), reply)
+        handler.handle(request(prompt = prompt, at = clock.now()), reply)
         return reply.got
     }
 
@@ -49,4 +62,18 @@
             )
         }
     }
+
+    /** Guards against a node that starts and sends prompts that the others withhold. */
+    @Test
+    fun `a prompt is refused until the crash evidence of the other nodes is known`() {
+        val missing = listOf(ServiceShare("missing", 1))
+        val prompt = Prompt(listOf("f"), "own")
+        val quarantine = emptyQuarantine()
+        assertEquals(
+            listOf("refused PLATFORM_UNAVAILABLE return"),
+            handle(missing, prompt, quarantine)
+        )
+        quarantine.update(emptyList())
+        assertEquals(listOf("refused NO_ROUTE return"), handle(missing, prompt, quarantine))
+    }
 }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -22,7 +22,12 @@
         )
     }
 
-    private fun run(resumable: Boolean, client: ScriptedClient): String {
+    private fun run(
+        resumable: Boolean,
+        client: ServerClient,
+        prompt: Prompt? = null,
+        quarantine: PromptQuarantine = emptyQuarantine()
+    ): String {
         val clock = FakeClock()
         val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
         val service = BackendService("model", model.copy(layerMegabytes = 500.0))
@@ -35,12 +40,13 @@
             budgets,
             Watchdog(clock::now),
             StallInspector(selector, { null }, { _, task -> task() }, clock::now),
+            quarantine,
             clock::now,
             clock::advance
         )
         executor.run(
             RequestTask(
-                request(at = clock.now()),
+                request(prompt = prompt, at = clock.now()),
                 reply,
                 route(RequestKind.STREAM, resumable = resumable),
                 service,
@@ -165,6 +171,7 @@
             budgets,
             watchdog,
             stalls,
+            emptyQuarantine(),
             clock::now,
             clock::advance
         )
@@ -194,4 +201,68 @@
         )
         for (case in cases) assertEquals(case.cancelled, cancelsStalled(case), case.name)
     }
+
+    private data class CrashCase(
+        val name: String,
+        val replies: List<ServerReply>,
+        val blockedBefore: Boolean = false,
+        val expected: String,
+        val broken: Int
+    )
+
+    /** Guards against a prompt that crashes one server after the other through retries. */
+    @Test
+    fun `a prompt that is withheld reaches no further server`() {
+        val prompt = Prompt(listOf("f", "d"), "own")
+        val noEvents = events(LongRange.EMPTY, interrupted = true)
+        val cases = listOf(
+            CrashCase(
+                "withheld before it is sent",
+                emptyList(),
+                blockedBefore = true,
+                expected = "refused PROMPT_WITHHELD",
+                broken = 0
+            ),
+            CrashCase(
+                "withheld once it has ended a server",
+                listOf(noEvents),
+                expected = "begin,abort",
+                broken = 1
+            ),
+            CrashCase(
+                "no answer began",
+                listOf(ServerReply.Failed("reset")),
+                expected = "refused BACKEND_FAILED",
+                broken = 1
+            ),
+            CrashCase(
+                "an answer past its beginning breaks",
+                listOf(events(1..4L, interrupted = true), events(5..6L)),
+                expected = "begin,1,2,3,4,5,6,end",
+                broken = 0
+            )
+        )
+        for (case in cases) {
+            var broken = 0
+            val block = { id: String ->
+                CrashEvidence(id, setOf("d"), setOf("$id@1"), true, FakeClock().now().wallMillis)
+            }
+            lateinit var quarantine: PromptQuarantine
+            quarantine = PromptQuarantine(
+                hasEnded = { true },
+                schedule = { _, task ->
+                    broken++
+                    task()
+                    quarantine.update(listOf(block("p1"), block("p2")))
+                },
+                share = {},
+                now = FakeClock()::now
+            )
+            if (case.blockedBefore) quarantine.update(listOf(block("p1"), block("p2")))
+            val client = ScriptedClient(*case.replies.toTypedArray())
+            assertEquals(case.expected, run(true, client, prompt, quarantine), case.name)
+            assertEquals(case.replies.size, client.calls.size, case.name)
+            assertEquals(case.broken, broken, case.name)
+        }
+    }
 }
