Name the withheld part as the reason in the log line of a refused prompt

Operators saw the reason of an attempt, or 'no chain covers the model' if there was none, in the line of a request that was refused as promptWithheld. The new check in StreamExecutorTest failed before with that text.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
@@ -109,7 +109,9 @@
 
     fun refuse(kind: ErrorKind): RequestOutcome {
         val stream = task.route.kind == RequestKind.STREAM
-        return refuseTask(task.request, task.reply, kind, lastReason, now(), stream)
+        // The last reason is that of an attempt; a withheld prompt may have had none.
+        val detail = if (kind == ErrorKind.PROMPT_WITHHELD) kind.title else lastReason
+        return refuseTask(task.request, task.reply, kind, detail, now(), stream)
     }
 
     private companion object {
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
@@ -109,8 +109,10 @@
 /** Records what the caller receives. */
 internal class RecordedReply : CallerReply {
     val got = mutableListOf<String>()
+    var refusalDetail: String? = null
 
     override fun refuse(kind: ErrorKind, detail: String, retryAfter: Duration?) {
+        refusalDetail = detail
         got += "refused ${kind.name}" + if (retryAfter == null) "" else " return"
     }
 
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -4,6 +4,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
+import org.bramleytrestle.model.ErrorKind
 import org.bramleytrestle.model.LayerRange
 
 class StreamExecutorTest {
@@ -26,14 +27,14 @@
         resumable: Boolean,
         client: ServerClient,
         prompt: Prompt? = null,
-        quarantine: PromptQuarantine = emptyQuarantine()
+        quarantine: PromptQuarantine = emptyQuarantine(),
+        reply: RecordedReply = RecordedReply()
     ): String {
         val clock = FakeClock()
         val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
         val service = BackendService("model", model.copy(layerMegabytes = 500.0))
         selector.update(Fleet(servers))
         val budgets = establishedBudgets(1.0, 10)
-        val reply = RecordedReply()
         val executor = StreamExecutor(
             selector,
             client,
@@ -260,7 +261,11 @@
             )
             if (case.blockedBefore) quarantine.update(listOf(block("p1"), block("p2")))
             val client = ScriptedClient(*case.replies.toTypedArray())
-            assertEquals(case.expected, run(true, client, prompt, quarantine), case.name)
+            val reply = RecordedReply()
+            assertEquals(case.expected, run(true, client, prompt, quarantine, reply), case.name)
+            if (case.blockedBefore) {
+                assertEquals(ErrorKind.PROMPT_WITHHELD.title, reply.refusalDetail, case.name)
+            }
             assertEquals(case.replies.size, client.calls.size, case.name)
             assertEquals(case.broken, broken, case.name)
         }
