--- a/serving/src/main/kotlin/org/bramleytrestle/serving/KindWatcher.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/KindWatcher.kt
@@ -38,7 +38,7 @@
                     copy.confirm(sentAt)
                     watch(list.version)
                 },
-                { onFailure("list", it) }
+                { onFailure("list", it, sentAt) }
             )
         }
     }
@@ -57,7 +57,7 @@
                         }
                         return
                     }
-                    onFailure("watch", error)
+                    onFailure("watch", error, sentAt)
                     null
                 }
             ) ?: continue
@@ -84,11 +84,15 @@
         if (outage > MIN_OUTAGE) copy.recovered()
     }
 
-    private suspend fun onFailure(call: String, error: StoreError) {
+    private suspend fun onFailure(call: String, error: StoreError, sentAt: Moment) {
         copy.failed()
         if (failingSince == null) {
             failingSince = now()
-            log.warn { "store: kind=${copy.kind} $call failed: $error" }
+            // A call that fails at its time limit was not answered; an earlier failure was refused.
+            log.warn {
+                "store: kind=${copy.kind} $call failed: $error after ${now().since(sentAt)}, " +
+                    "confirmed ${copy.age} ago"
+            }
         }
         val retryDelay = RETRY_DELAY * (1 shl failures++.coerceAtMost(MAX_DOUBLINGS))
         delay(retryDelay * (1 + Random.nextDouble()))
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
@@ -114,7 +114,17 @@
     private suspend fun askSources(others: List<InstanceId>): Boolean {
         val preferred = listOfNotNull(source?.takeIf { it in others.take(READERS) })
         for (node in (preferred + others.take(MAX_SOURCES)).distinct()) {
-            if (!askOne(node)) continue
+            val askedAt = now()
+            if (!askOne(node)) {
+                if (node == source) {
+                    log.info {
+                        "store: node ${node.value} is no source any more, " +
+                            "asked ${now().since(askedAt)} ago, copies confirmed " +
+                            "${copies.map { it.age }} ago"
+                    }
+                }
+                continue
+            }
             if (source != node) {
                 log.info { "store: reading from node ${node.value}, before from ${source?.value}" }
                 source = node
