Let a follower that loses its sources read the store within the propagation time

Cause: it asked up to four nodes one after the other, 0.5 s each, before it called the store; a node that reaches the store counts as in touch although other nodes are cut off. If its own connection to the store was silent, the call failed at its limit and the next one followed 1.5 to 3 s later.

Evidence: StoreFollowerTest 'a follower that loses its sources has each version in the propagation time' failed before: 'cut off from all nodes, phase 0: 2.03s' (2 s are allowed).

Change: the source is asked first, then all others at once for 0.25 s, then the store, which gets a second call if the first one ended at its time limit. The delay between tests of the store starts anew once a source was in time.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
@@ -8,6 +8,8 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -99,6 +101,7 @@
         }
         val others = ordered.filter { it != own }
         if (askSources(others)) {
+            nextTest = now()
             stopReading()
             return
         }
@@ -107,38 +110,38 @@
         if (now().monotonicNanos - nextTest.monotonicNanos < 0) return
         nextTest = now() + TEST_INTERVAL * (1 + random.nextDouble())
         if (others.isEmpty() && !settled) return
-        if (storeAnswers()) read(scope, "no source in time, sources=${others.size}", true)
+        if (testStore()) read(scope, "no source in time, sources=${others.size}", true)
     }
 
-    /** Asks sources until one answers in time; returns whether one did. */
+    /**
+     * Asks the source, and then the other nodes at once: a node that is cut off from all of them
+     * must have the time to read the store itself. Returns whether one of them is in time.
+     */
     private suspend fun askSources(others: List<InstanceId>): Boolean {
-        val preferred = listOfNotNull(source?.takeIf { it in others.take(READERS) })
-        for (node in (preferred + others.take(MAX_SOURCES)).distinct()) {
+        val known = source?.takeIf { it in others.take(READERS) }
+        if (known != null) {
             val askedAt = now()
-            if (!askOne(node)) {
-                if (node == source) {
-                    log.info {
-                        "store: node ${node.value} is no source any more, " +
-                            "asked ${now().since(askedAt)} ago, copies confirmed " +
-                            "${copies.map { it.age }} ago"
-                    }
-                }
-                continue
+            if (askOne(known, ASK_TIMEOUT)) return true
+            log.info {
+                "store: node ${known.value} is no source any more, asked " +
+                    "${now().since(askedAt)} ago, copies confirmed ${copies.map { it.age }} ago"
             }
-            if (source != node) {
-                log.info { "store: reading from node ${node.value}, before from ${source?.value}" }
-                source = node
-            }
-            return true
         }
-        return false
+        val rest = others.take(MAX_SOURCES) - listOfNotNull(known).toSet()
+        val inTime = coroutineScope {
+            rest.map { async { it.takeIf { askOne(it, OTHERS_TIMEOUT) } } }.awaitAll()
+        }
+        val found = inTime.firstNotNullOfOrNull { it } ?: return false
+        log.info { "store: reading from node ${found.value}, before from ${source?.value}" }
+        source = found
+        return true
     }
 
-    private suspend fun askOne(node: InstanceId): Boolean {
+    private suspend fun askOne(node: InstanceId, timeout: Duration): Boolean {
         val askedAt = now()
         val versions = copies.associate { it.kind to (it.version ?: UNKNOWN) }
         val question = RelayQuestion(versions, failures?.observed().orEmpty())
-        val bytes = withTimeoutOrNull(ASK_TIMEOUT) { ask(node, RelayCodec.encode(question)) }
+        val bytes = withTimeoutOrNull(timeout) { ask(node, RelayCodec.encode(question)) }
             ?: return false
         return try {
             val answer = RelayCodec.answer(bytes)
@@ -158,6 +161,12 @@
         }
     }
 
+    /** A call that ends at its time limit closes its silent connection; the next one opens one. */
+    private suspend fun testStore(): Boolean {
+        val sentAt = now()
+        return storeAnswers() || now().since(sentAt) >= SILENT_CALL_TIME && storeAnswers()
+    }
+
     private fun read(scope: CoroutineScope, reason: String, followed: Boolean) {
         if (reading?.isActive == true && followed == readsForOthers) return
         reading?.cancel()
@@ -196,6 +205,12 @@
         internal val ASK_INTERVAL = 400.milliseconds
         internal val ASK_TIMEOUT = 500.milliseconds
 
+        /** Many times the usual time of an answer; leaves the time for a call to the store. */
+        internal val OTHERS_TIMEOUT = 250.milliseconds
+
+        /** Time of a call to the store after which its connection may be silent. */
+        internal val SILENT_CALL_TIME = 500.milliseconds
+
         /** Time of a slow call to the store, by which a healthy source's age exceeds its wait. */
         internal val AGE_MARGIN = 700.milliseconds
 
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StoreFollowerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StoreFollowerTest.kt
@@ -29,6 +29,12 @@
         val cutFromStore = mutableSetOf<String>()
         val paused = mutableSetOf<String>()
         val dead = mutableSetOf<String>()
+
+        /** Nodes that reach the store and get no answers from other nodes. */
+        val cutFromNodes = mutableSetOf<String>()
+
+        /** Nodes whose next call to the store goes to a connection that has become silent. */
+        val silentToStore = mutableSetOf<String>()
         val nodes: List<Node> = (1..size).map { Node("n$it") }
         var calls = 0
 
@@ -49,6 +55,7 @@
                 ask = { to, question ->
                     delay(2.milliseconds)
                     val node = nodes.single { it.name == to.value }
+                    if (name in cutFromNodes || to.value in cutFromNodes) awaitCancellation()
                     if (to.value in paused || to.value in dead) awaitCancellation()
                     node.follower.answer(InstanceId(name), question)
                 },
@@ -58,8 +65,12 @@
                 random = Random(1)
             )
 
-            private fun call(): Long? {
+            private suspend fun call(): Long? {
                 calls++
+                if (silentToStore.remove(name)) {
+                    delay(CALL_TIMEOUT)
+                    return null
+                }
                 return storeVersion.takeUnless { storeDown || name in cutFromStore }
             }
 
@@ -93,6 +104,17 @@
 
         fun readers() = nodes.filter { it.follower.reads }.map { it.name }
 
+        /** Longest time within [span] for which [node] had a version older than the store's. */
+        suspend fun worstDelay(span: Duration, node: Node): Duration {
+            var worst = Duration.ZERO
+            repeat((span / 10.milliseconds).toInt()) {
+                delay(10.milliseconds)
+                val nextVersionAt = node.version * 1_000
+                worst = maxOf(worst, (scope.currentTime - nextVersionAt).milliseconds)
+            }
+            return worst
+        }
+
         /** Greatest number of versions by which a node was behind during [span]. */
         suspend fun worstLag(span: Duration, of: List<Node> = nodes): Long {
             var worst = 0L
@@ -104,6 +126,11 @@
         }
     }
 
+    private companion object {
+        /** Time limit of a call to the store. */
+        val CALL_TIMEOUT = 800.milliseconds
+    }
+
     private fun centre(size: Int = 8, test: suspend Centre.() -> Unit) = runTest {
         Centre(this, size).apply {
             start()
@@ -145,6 +172,47 @@
         }
     }
 
+    private data class Loss(
+        val name: String,
+        val limit: Duration,
+        val strike: Centre.(follower: String) -> Unit
+    )
+
+    /**
+     * Ways in which a follower loses its sources while it reaches the store, with the time in which
+     * it must have each version: the propagation time, or the stable window where its connection to
+     * the store is disturbed too.
+     */
+    private val losses = listOf(
+        Loss("cut off from all nodes", 2.seconds) { cutFromNodes += it },
+        Loss("both readers cut off from all nodes", 2.seconds) { cutFromNodes += readers() },
+        Loss("one reader cut off from the store, the other one paused", 2.seconds) {
+            val (first, second) = readers()
+            cutFromStore += first
+            paused += second
+        },
+        Loss("all connections silent", 3.seconds) {
+            cutFromNodes += it
+            silentToStore += it
+        }
+    )
+
+    /** Guards against a configuration that is in force too late at a node that can read it. */
+    @Test
+    fun `a follower that loses its sources has each version in the propagation time`() {
+        for (loss in losses) {
+            for (phase in 0 until 20) {
+                centre {
+                    delay(50.milliseconds * phase)
+                    val follower = nodes.last()
+                    loss.strike(this, follower.name)
+                    val worst = worstDelay(8.seconds, follower)
+                    assertTrue(worst < loss.limit, "${loss.name}, phase $phase: $worst")
+                }
+            }
+        }
+    }
+
     @Test
     fun `an outage of the store costs few calls and followers return to their readers`() = centre {
         storeDown = true
