Call routes and keys unknown only by a configuration that may be in force

Cause: a node knows how old its configuration is, but answered 404 and 401 from it until 4.2 s (the bound for removed keys), while a newer configuration must be in force after configPropagationMs (2 s). A copy of unknown freshness gave refusals that callers do not retry.

Change: beyond the propagation time an unknown route or key is refused as 'settings unconfirmed' (503, not run, to be retried at another node).

Evidence: RequestHandlerTest 'a route or key is called unknown only by a configuration that must still be in force' failed before: 404 at 2.1 s.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestHandler.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestHandler.kt
@@ -45,17 +45,19 @@
         trace: RequestTrace
     ): RequestOutcome {
         val stale = age > bounds.maxConfirmationAge
+        val outdated = age > bounds.maxDenialAge
         val route = config.route(request.host, request.path)
         trace.route = route?.name
         val organisation = request.key?.let(config::organisationOf)
         trace.organisation = organisation?.name
         val keyRequired = route != null && config.keysRequired && !route.publicAccess
+        val unknown = route == null || keyRequired && organisation == null
         val refusal = when {
             lifecycle.refusesAll -> Refusal(ErrorKind.LEAVING, "the node is shutting down")
-            stale && (route == null || keyRequired) ->
+            stale && keyRequired || outdated && unknown ->
                 Refusal(ErrorKind.PLATFORM_UNAVAILABLE, "settings unconfirmed for $age")
             route == null -> Refusal(ErrorKind.NOT_FOUND, "no route for the path")
-            keyRequired && organisation == null -> Refusal(ErrorKind.UNAUTHENTICATED, "unknown key")
+            unknown -> Refusal(ErrorKind.UNAUTHENTICATED, "unknown key")
             lifecycle.refusesStreams && route.kind == RequestKind.STREAM ->
                 Refusal(ErrorKind.LEAVING, "the node is shutting down")
             request.prompt != null && !quarantine.isLoaded ->
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
@@ -80,12 +80,13 @@
     lastEvent: Long? = null,
     timeout: Duration = 20.seconds,
     prompt: Prompt? = null,
+    target: String = "/p/1",
     at: Moment
 ) = CallerRequest(
     id = id,
     method = "POST",
     host = "host",
-    target = "/p/1",
+    target = target,
     headers = emptyList(),
     body = ByteArray(0),
     receivedAt = at,
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/RequestHandlerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/RequestHandlerTest.kt
@@ -3,6 +3,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 class RequestHandlerTest {
     private val clock = FakeClock()
@@ -15,16 +16,20 @@
     private fun handle(
         shares: List<ServiceShare>,
         prompt: Prompt? = null,
-        quarantine: PromptQuarantine = emptyQuarantine()
+        quarantine: PromptQuarantine = emptyQuarantine(),
+        organisations: List<Organisation> = emptyList(),
+        path: String = "/p/1",
+        age: Duration = Duration.ZERO
     ): List<String> {
         val route = route(RequestKind.AT_MOST_ONCE).copy(shares = shares)
         val service = BackendService("desk", null)
         val configs = ConfigHolder(clock::now)
-        configs.offer(RoutingConfig(1, 1, listOf(route), listOf(service), emptyList()))
+        configs.offer(RoutingConfig(1, 1, listOf(route), listOf(service), organisations))
         configs.confirm(clock.now())
+        clock.advance(age)
         val handler = RequestHandler(
             configs,
-            ServingBounds(),
+            ServingBounds(configPropagation = 2.seconds),
             NodeLifecycle(ServingBounds().processGrace, clock::now),
             PlainExecutor(selector, client, budgets, watchdog, emptyQuarantine(), clock::now),
             StreamExecutor(
@@ -41,7 +46,8 @@
             now = clock::now
         )
         val reply = RecordedReply()
-        handler.handle(request(prompt = prompt, at = clock.now()), reply)
+        val caller = request(prompt = prompt, at = clock.now(), target = path)
+        handler.handle(caller, reply)
         return reply.got
     }
 
@@ -76,4 +82,32 @@
         quarantine.update(emptyList())
         assertEquals(listOf("refused NO_ROUTE return"), handle(missing, prompt, quarantine))
     }
+
+    private data class Denial(
+        val name: String,
+        val path: String,
+        val age: Duration,
+        val expected: String
+    )
+
+    /** Guards against refusals for good by an outdated configuration, which callers don't retry. */
+    @Test
+    fun `a route or key is called unknown only by a configuration that must still be in force`() {
+        val lab = listOf(Organisation("lab", setOf("k1"), null))
+        val cases = listOf(
+            Denial("unknown route", "/q/1", 2.seconds, "refused NOT_FOUND"),
+            Denial("unknown route, outdated", "/q/1", 2.1.seconds, UNAVAILABLE),
+            Denial("unknown key", "/p/1", 2.seconds, "refused UNAUTHENTICATED"),
+            Denial("unknown key, outdated", "/p/1", 2.1.seconds, UNAVAILABLE)
+        )
+        val shares = listOf(ServiceShare("desk", 1))
+        for (case in cases) {
+            val got = handle(shares, organisations = lab, path = case.path, age = case.age)
+            assertEquals(listOf(case.expected), got, case.name)
+        }
+    }
+
+    private companion object {
+        const val UNAVAILABLE = "refused PLATFORM_UNAVAILABLE return"
+    }
 }
