Read the limits that servers announce and log them

The header Server-Limit was not read, so neither a log nor a metric could tell whether servers named limits. It is decoded once, kept for each start of a server, logged and counted; no decision uses it yet.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoad.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoad.kt
@@ -6,8 +6,14 @@
 /**
  * Load and health of one server as observed by this node: its own requests in flight, the load that
  * the server last reported, and how long the server is avoided after failures.
+ *
+ * @property announced what the server has announced of itself.
  */
-public class ServerLoad(private val now: () -> Moment, private val onAvoidance: () -> Unit = {}) {
+public class ServerLoad(
+    private val now: () -> Moment,
+    public val announced: AnnouncedState = AnnouncedState("", now),
+    private val onAvoidance: () -> Unit = {}
+) {
     private class Report(val running: Int, val waiting: Int, val ownInFlight: Int, val at: Moment)
 
     private val inFlight = AtomicInteger()
