Keep to a share of the limit that a server names for all nodes

A server in need got more than the limit that it had named; callers met it as slow or refused answers.

Cause: no decision used the limit.

Change: each request to a server takes a permit from the record of what that start of the server announced. Permits of a node are an interval apart that follows from the limit and the node's share (the live or registered nodes, as for retries); their times are spread at random, and a permit that is not used lapses after a second and the time of two requests, so that unused permits of many nodes do not meet. First attempts, retries, waiting and resumed streams take their permit where the server or chain is chosen. A request for which no server has one is refused at once; Retry-After is not before the next permit.

Ruled out: saved permits (one for each node exceeds the limit when all are used at once), an exchange between nodes (not needed for the rule).

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
@@ -36,6 +36,9 @@
     private var serverError: ServerReply.Complete? = null
     var lastReason = "no server is ready"
 
+    /** Time until a server that holds back this node's requests accepts one; null if none does. */
+    var heldBackFor: Duration? = null
+
     /** Whether the request must not reach a server, because its prompt may crash it. */
     private val withheld: Boolean get() = quarantine.blocks(task.request.prompt)
 
@@ -110,8 +113,20 @@
     fun refuse(kind: ErrorKind): RequestOutcome {
         val stream = task.route.kind == RequestKind.STREAM
         // The last reason is that of an attempt; a withheld prompt may have had none.
-        val detail = if (kind == ErrorKind.PROMPT_WITHHELD) kind.title else lastReason
-        return refuseTask(task.request, task.reply, kind, detail, now(), stream)
+        val detail = when {
+            kind == ErrorKind.PROMPT_WITHHELD -> kind.title
+            heldBackFor != null -> "$lastReason; servers take none of this node for $heldBackFor"
+            else -> lastReason
+        }
+        return refuseTask(
+            task.request,
+            task.reply,
+            kind,
+            detail,
+            now(),
+            stream,
+            earliest = heldBackFor?.takeIf { it.isFinite() } ?: Duration.ZERO
+        )
     }
 
     private companion object {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
@@ -27,7 +27,11 @@
             val attempts = AttemptTracker(task, active, budgets, quarantine, MIN_REMAINING, now)
             val tried = mutableSetOf<String>()
             while (attempts.canAttempt() && attempts.canUseNewServer) {
-                val server = selector.server(task.service.name, tried) ?: break
+                val server = selector.takeServer(task.service.name, tried)
+                if (server == null) {
+                    attempts.heldBackFor = selector.timeUntilTake(task.service.name)
+                    break
+                }
                 if (!attempts.acquire()) break
                 tried += server.id
                 attempt(task, server, attempts, active)?.let { return it }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/Refusals.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Refusals.kt
@@ -27,7 +27,11 @@
 /** Callers follow a delay of at most a third of their remaining time; the rest is a margin. */
 private const val STREAM_REMAINING_SHARE = 0.3
 
-/** Refuses a request, with a retry delay if a retry can succeed. */
+/**
+ * Refuses a request, with a retry delay if a retry can succeed.
+ *
+ * @param earliest time until a server accepts a request again, as far as servers have told.
+ */
 internal fun refuseTask(
     request: CallerRequest,
     reply: CallerReply,
@@ -35,19 +39,24 @@
     detail: String,
     at: Moment,
     stream: Boolean = false,
-    random: Random = Random.Default
+    random: Random = Random.Default,
+    earliest: Duration = Duration.ZERO
 ): RequestOutcome {
+    val recovery = if (stream) MODEL_RECOVERY else RECOVERY
+    val range = if (earliest > recovery.start) earliest..earliest + recovery.width else recovery
     val otherNode = kind == ErrorKind.LEAVING || kind == ErrorKind.PLATFORM_UNAVAILABLE
     val retryAfter = when {
         !kind.retryable -> null
         otherNode -> retryAfter(request, at, OTHER_NODE, REMAINING_SHARE, random)
-        stream -> retryAfter(request, at, MODEL_RECOVERY, STREAM_REMAINING_SHARE, random)
-        else -> retryAfter(request, at, RECOVERY, REMAINING_SHARE, random)
+        stream -> retryAfter(request, at, range, STREAM_REMAINING_SHARE, random)
+        else -> retryAfter(request, at, range, REMAINING_SHARE, random)
     }
     reply.refuse(kind, detail, retryAfter)
     return RequestOutcome.failed(kind, detail)
 }
 
+private val ClosedRange<Duration>.width get() = endInclusive - start
+
 private fun retryAfter(
     request: CallerRequest,
     at: Moment,
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
+import kotlin.time.Duration
 
 /**
  * Selects the server or chain for a request based on the fleet, the loads that servers report and
@@ -62,19 +63,41 @@
 
     public fun load(server: BackendServer): ServerLoad = loads.of(server)
 
-    /** The least loaded server of [service] not in [tried]; avoided ones are the last resort. */
-    public fun server(service: String, tried: Set<String>): BackendServer? {
-        val candidates = snapshot.get().fleet.ready[service].orEmpty().filter { it.id !in tried }
-        val healthy = candidates.filterNot { load(it).avoided }.ifEmpty { candidates }
-        return healthy.minByOrNull { server ->
-            val utilisation = (load(server).estimate + 1.0) / maxOf(1, server.slots)
-            utilisation + if (server.dataCentre == dataCentre) 0.0 else REMOTE_SERVER_COST
+    /**
+     * Takes the least loaded server of [service] not in [tried] that accepts a request of this node
+     * now; avoided ones are the last resort. The caller sends it one request.
+     */
+    public fun takeServer(service: String, tried: Set<String>): BackendServer? {
+        val open = snapshot.get().fleet.ready[service].orEmpty().toMutableList()
+        open.removeIf { it.id in tried || !load(it).announced.mayTake() }
+        while (open.isNotEmpty()) {
+            val healthy = open.filterNot { load(it).avoided }.ifEmpty { open }
+            val best = healthy.minBy(::cost)
+            if (load(best).announced.tryTake()) return best
+            open -= best
         }
+        return null
+    }
+
+    private fun cost(server: BackendServer): Double {
+        val utilisation = (load(server).estimate + 1.0) / maxOf(1, server.slots)
+        return utilisation + if (server.dataCentre == dataCentre) 0.0 else REMOTE_SERVER_COST
     }
 
     /**
-     * The cheapest chain not in [tried] whose first server is [allowed], or null if there is none.
-     * Chains that failed recently are selected only if no other is left.
+     * Time until a server of [service] that holds back this node's requests accepts one; null if
+     * none holds them back.
+     */
+    public fun timeUntilTake(service: String): Duration? =
+        snapshot.get().fleet.ready[service].orEmpty()
+            .map { load(it).announced.timeUntilTake() }
+            .filter { it > Duration.ZERO }
+            .minOrNull()
+
+    /**
+     * The cheapest chain not in [tried] whose first server is [allowed] and accepts a request of
+     * this node now, or null if there is none. Chains that failed recently are selected only if no
+     * other is left. The request is to be sent only after [takeFirst].
      */
     public fun chain(
         service: BackendService,
@@ -94,6 +117,7 @@
         for (candidate in candidates) {
             val chain = candidate.chain
             if (chain.label in tried || !allowed(chain.first)) continue
+            if (!candidate.load.announced.mayTake()) continue
             val healthy = !isAvoided(chain, at)
             if (bestHealthy && !healthy) continue
             val utilisation = candidate.load.estimate(at) / candidate.capacity
@@ -107,6 +131,9 @@
         return best
     }
 
+    /** Takes the permit for one request to the first server of [chain]; false if it has none now. */
+    public fun takeFirst(chain: Chain): Boolean = load(chain.first).announced.tryTake()
+
     private fun isAvoided(chain: Chain, at: Moment): Boolean {
         val until = avoidedChains[chain.label] ?: return false
         return at.monotonicNanos - until < 0
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -84,8 +84,15 @@
                 attempts.allows(first) && (retryRefused || first.id !in progress.stalled)
             }
             val keepWaiting = when {
-                choice == null -> progress.begun
-                progress.begun || choice.utilisation <= FULL -> return choice
+                choice == null -> {
+                    attempts.heldBackFor = selector.timeUntilTake(task.service.name)
+                    progress.begun
+                }
+                progress.begun || choice.utilisation <= FULL -> {
+                    if (selector.takeFirst(choice.chain)) return choice
+                    // Another request took the permit; the next search leaves the chain out.
+                    continue
+                }
                 else -> choice.utilisation <= OVERLOADED
             }
             if (choice != null) attempts.lastReason = "all chains are full"
--- /dev/null
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/AnnouncementTest.kt
@@ -0,0 +1,125 @@
+package org.bramleytrestle.serving
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.bramleytrestle.model.LayerRange
+
+/** What a server has announced holds on every way in which a request reaches a server. */
+class AnnouncementTest {
+    private data class Case(
+        val name: String,
+        val stream: Boolean,
+        val replies: List<ServerReply>,
+        val expected: String,
+        val servers: List<String>
+    )
+
+    private val clock = FakeClock()
+    private val loads = ServerLoads(clock::now, share = { 0.0 })
+    private val plain = listOf("x", "y", "z").map { plainServer(it, if (it == "x") "a" else "b") }
+    private val models = listOf("a", "b", "c").flatMap { centre ->
+        listOf(
+            modelServer("$centre-1", centre, "large", LayerRange(0, 40)),
+            modelServer("$centre-2", centre, "large", LayerRange(40, 80))
+        )
+    }
+
+    private fun announce(
+        server: BackendServer,
+        announcement: ServerAnnouncement,
+        sentAt: Moment = clock.now()
+    ) = loads.of(server).announced.read(announcement, "r0", sentAt)
+
+    private fun run(stream: Boolean, client: ServerClient): String {
+        val selector = ServerSelector("a", loads, clock::now)
+        selector.update(Fleet(plain + models))
+        val budgets = establishedBudgets(1.0, 10)
+        val reply = RecordedReply()
+        val kind = if (stream) RequestKind.STREAM else RequestKind.IDEMPOTENT
+        val layered = BackendService("model", model.copy(layerMegabytes = 500.0))
+        val task = RequestTask(
+            request(at = clock.now()),
+            reply,
+            route(kind, resumable = stream),
+            if (stream) layered else BackendService("desk"),
+            null,
+            20.seconds,
+            RequestTrace("r1", 1, null)
+        )
+        val watchdog = Watchdog(clock::now)
+        val quarantine = emptyQuarantine()
+        if (stream) {
+            val stalls = StallInspector(selector, { null }, { _, check -> check() }, clock::now)
+            StreamExecutor(
+                selector,
+                client,
+                budgets,
+                watchdog,
+                stalls,
+                quarantine,
+                clock::now,
+                clock::advance
+            ).run(task)
+        } else {
+            PlainExecutor(selector, client, budgets, watchdog, quarantine, clock::now).run(task)
+        }
+        return reply.got.joinToString(",") { it.removePrefix("event ") }
+    }
+
+    private val full = ServerReply.NotRun("full", reached = true)
+    private val ok = ServerReply.Complete(200, emptyList(), ByteArray(0))
+    private val broken = events(1..2L, interrupted = true)
+
+    /** Guards against a path on which an announcement is read but not obeyed. */
+    @Test
+    fun `no first attempt, retry or resumed stream reaches a server that holds requests back`() {
+        val others = setOf("y", "z", "b-1", "c-1")
+        val cases = listOf(
+            Case("first attempt", false, listOf(ok), "answer 200", listOf("x")),
+            Case("retry", false, listOf(full), "refused OVERLOADED return", listOf("x")),
+            Case("stream", true, listOf(events(1..2L)), "begin,1,2,end", listOf("a-1")),
+            Case("refused stream", true, listOf(full), "refused OVERLOADED return", listOf("a-1")),
+            Case("resumed stream", true, listOf(broken, full), "begin,1,2,abort", listOf("a-1"))
+        )
+        for (server in (plain + models).filter { it.id in others }) {
+            announce(server, ServerAnnouncement(requestsPerSecond = 5.0))
+        }
+        for ((name, stream, replies, expected, servers) in cases) {
+            val client = ScriptedClient(*replies.toTypedArray())
+            assertEquals(expected, run(stream, client), name)
+            assertEquals(servers, client.calls.map { it.server.id }.distinct(), name)
+        }
+    }
+
+    @Test
+    fun `a request that all servers hold back is refused at once as not run`() {
+        for (server in plain + models) announce(server, ServerAnnouncement(5.0))
+        for (stream in listOf(false, true)) {
+            val before = clock.now()
+            assertEquals("refused OVERLOADED return", run(stream, ScriptedClient()))
+            assertEquals(before, clock.now())
+        }
+    }
+
+    private data class End(val name: String, val sentAfter: Long, val limited: Boolean)
+
+    /** Guards against a limit that a slow answer to an earlier request ends. */
+    @Test
+    fun `a limit ends with an answer without it to a request sent after the limit was read`() {
+        val cases = listOf(End("sent before", -1, true), End("sent after", 1, false))
+        for (case in cases) {
+            announce(plain[0], ServerAnnouncement(5.0))
+            val sentAt = clock.now() + case.sentAfter.milliseconds
+            announce(plain[0], ServerAnnouncement.NONE, sentAt)
+            assertEquals(case.limited, loads.of(plain[0]).announced.isLimited, case.name)
+        }
+    }
+
+    @Test
+    fun `a server that has started again has announced nothing`() {
+        announce(plain[0], ServerAnnouncement(5.0))
+        assertEquals(false, loads.of(plain[0].copy(bornMillis = 7)).announced.isLimited)
+    }
+}
