Send a request again to the same server over a new connection

A late copy of the refusal has the same request id, so the second send was taken for refused while the server ran it, and could run at a second server (TWICE).

Such a copy arrives on the connection that had the first send; the second one goes over a connection of its own.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
@@ -58,7 +58,10 @@
         remaining > minRemaining &&
         !withheld
 
-    fun allows(server: BackendServer): Boolean = canUseNewServer || server.id in servers
+    fun allows(server: BackendServer): Boolean = canUseNewServer || hasReached(server)
+
+    /** Whether [server] has received the request. */
+    fun hasReached(server: BackendServer): Boolean = server.id in servers
 
     /** Admits the next attempt: the first one always, a later one if the retry budget allows. */
     fun acquire(): Boolean {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerCall.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerCall.kt
@@ -8,6 +8,7 @@
  * @property chain servers that the request passes through; null if [server] serves it alone.
  * @property urgency rank in the queue of a model server, 0 first.
  * @property remaining time left until the deadline.
+ * @property resent whether the server has had this request before.
  * @property lastEvent number of the event after which a resumed stream continues.
  */
 public class ServerCall(
@@ -19,5 +20,6 @@
     public val organisation: String? = null,
     public val urgency: Int? = null,
     public val lastEvent: Long? = null,
-    public val load: ServerLoad? = null
+    public val load: ServerLoad? = null,
+    public val resent: Boolean = false
 )
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -125,7 +125,8 @@
             organisation = task.organisation?.name,
             urgency = task.urgency,
             lastEvent = progress.lastEvent,
-            load = load
+            load = load,
+            resent = attempts.hasReached(chain.first)
         )
         val exchange = client.open(call)
         load.started()
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -122,6 +122,10 @@
             assertEquals(resumesAfter, client.calls.map { it.lastEvent }, name)
             for (call in client.calls) assertEquals(true, call.chain?.covers(80), name)
             assertTrue(client.calls.map { it.server.id }.distinct().size <= 2, name)
+            val resent = client.calls.mapIndexed { i, call ->
+                client.calls.take(i).any { it.server.id == call.server.id }
+            }
+            assertEquals(resent, client.calls.map { it.resent }, name)
         }
     }
 
