--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -63,6 +63,7 @@
     fun `an interrupted stream resumes without a lost or duplicate event or is aborted`() {
         val full = ServerReply.NotRun("full", reached = true)
         val noAnswer = ServerReply.Failed("reset")
+        val error = ServerReply.Complete(500, emptyList(), "failed\n\n".toByteArray())
         val cases = listOf(
             Case("complete", true, listOf(events(1..3L)), "begin,1,2,3,end", listOf(null)),
             Case(
@@ -100,6 +101,32 @@
                 "begin,1,2,3,4,end",
                 listOf(null, 2, 2)
             ),
+            Case(
+                "an error after an interruption is not part of the stream",
+                true,
+                listOf(events(1..2L, interrupted = true), error, events(3..4L)),
+                "begin,1,2,3,4,end",
+                listOf(null, 2, 2)
+            ),
+            Case(
+                "a whole answer after an interruption is not part of the stream",
+                true,
+                listOf(
+                    events(1..2L, interrupted = true),
+                    ServerReply.Complete(200, emptyList(), "late".toByteArray()),
+                    error,
+                    error
+                ),
+                "begin,1,2,abort",
+                listOf(null, 2, 2, 2)
+            ),
+            Case(
+                "errors only after an interruption do not end the stream as complete",
+                true,
+                listOf(events(1..2L, interrupted = true), error, error, error),
+                "begin,1,2,abort",
+                listOf(null, 2, 2, 2)
+            ),
             Case("no events", false, listOf(noAnswer), "refused BACKEND_FAILED", listOf(null)),
             Case(
                 "refused first",
