Send no request to a server that has announced that it is leaving

Requests reached a server after its drain time when the store's entry came late or the store was down, slow or cut off: only the entry told that it leaves.

Change: the record of what a start of a server has announced holds it too. Servers and chains are chosen without it (also as a later stage), no layers are planned for it, and streams that run there finish. The record stays while the entry is missing and returns, and ends with the next start of the server.

Evidence: AnnouncementTest without the check: 'expected: <y> but was: <x>' (entry that returns), 'a-1>a-2' (later stage), and sends beyond the script on first attempts, retries and resumed streams.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AnnouncedState.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AnnouncedState.kt
@@ -21,7 +21,7 @@
     private val server: String,
     private val now: () -> Moment,
     private val share: () -> Double = { 1.0 },
-    private val onChange: (kind: String) -> Unit = {},
+    private val onChange: (kind: AnnouncementKind) -> Unit = {},
     private val random: Random = Random.Default
 ) {
     /** @property nextNanos monotonic time from which the next permit is valid. */
@@ -29,8 +29,22 @@
 
     private val limit = AtomicReference<Limit?>(null)
 
-    /** Whether the server has named a limit that still holds. */
-    public val isLimited: Boolean get() = limit.get() != null
+    /** When the server said that it is leaving. It never takes that back: a new start is another. */
+    private val leavingSince = AtomicReference<Moment?>(null)
+
+    /** Monotonic time until which the server wants nothing from this node. */
+    private val waitUntilNanos = AtomicReference<Long?>(null)
+
+    /** Time since the server said that it is leaving; null if it has not. */
+    public val leavingFor: Duration? get() = leavingSince.get()?.let { now().since(it) }
+
+    /** Kinds of announcements that hold requests back now. */
+    public val kinds: Set<AnnouncementKind>
+        get() = setOfNotNull(
+            AnnouncementKind.LIMIT.takeIf { limit.get() != null },
+            AnnouncementKind.LEAVING.takeIf { leavingSince.get() != null },
+            AnnouncementKind.WAIT.takeIf { waitTime(now().monotonicNanos) > 0 }
+        )
 
     /**
      * Records what an answer says.
@@ -39,7 +53,16 @@
      * named the limit may have been written before, so it does not end the limit.
      */
     public fun read(announcement: ServerAnnouncement, requestId: String, sentAt: Moment) {
-        val named = announcement.requestsPerSecond
+        if (announcement.leaving && leavingSince.compareAndSet(null, now())) {
+            log.info { "servers: server=$server leaving request=$requestId" }
+            onChange(AnnouncementKind.LEAVING)
+        }
+        if (announcement.limitReadable) {
+            readLimit(announcement.requestsPerSecond, requestId, sentAt)
+        }
+    }
+
+    private fun readLimit(named: Double?, requestId: String, sentAt: Moment) {
         while (true) {
             val known = limit.get()
             if (named == null && known == null) return
@@ -55,7 +78,7 @@
                     "servers: server=$server limit=${next?.perSecond}/s before=" +
                         "${known?.perSecond}/s share=${share()} request=$requestId"
                 }
-                onChange(LIMIT)
+                onChange(AnnouncementKind.LIMIT)
             }
             return
         }
@@ -64,26 +87,37 @@
     /** Whether [tryTake] would succeed now. */
     public fun mayTake(): Boolean = timeUntilTake() <= Duration.ZERO
 
-    /** Time until the server takes the next request of this node; zero if it does now. */
+    /**
+     * Time until the server takes the next request of this node: zero if it does now, infinite if
+     * it never will.
+     */
     public fun timeUntilTake(): Duration {
-        val known = limit.get() ?: return Duration.ZERO
-        val interval = interval(known) ?: return Duration.INFINITE
+        if (leavingSince.get() != null) return Duration.INFINITE
+        if (waitUntilNanos.get() == null && limit.get() == null) return Duration.ZERO
         val nanos = now().monotonicNanos
-        return (validFrom(known, interval, nanos) - nanos).coerceAtLeast(0).nanoseconds
+        val waitTime = waitTime(nanos)
+        val known = limit.get() ?: return waitTime.nanoseconds
+        val interval = interval(known) ?: return Duration.INFINITE
+        return maxOf(waitTime, validFrom(known, interval, nanos) - nanos, 0).nanoseconds
     }
 
     /** Takes a permit for one request to the server; false if there is none now. */
     public fun tryTake(): Boolean {
         while (true) {
+            val nanos = now().monotonicNanos
+            if (leavingSince.get() != null || waitTime(nanos) > 0) return false
             val known = limit.get() ?: return true
             val interval = interval(known) ?: return false
-            val nanos = now().monotonicNanos
             val from = validFrom(known, interval, nanos)
             if (from > nanos) return false
             if (limit.compareAndSet(known, known.copy(nextNanos = from + interval))) return true
         }
     }
 
+    /** Nanoseconds for which the server still wants nothing from this node, or 0. */
+    private fun waitTime(nanos: Long): Long =
+        waitUntilNanos.get()?.let { it - nanos }?.coerceAtLeast(0) ?: 0
+
     private fun renewed(named: Double, known: Limit?): Limit {
         val rate = maxOf(named, MIN_REQUESTS_PER_SECOND)
         val at = now()
@@ -111,12 +145,9 @@
         return limit.nextNanos + ((late - 1) / interval + 1) * interval
     }
 
-    public companion object {
+    private companion object {
         private val log = KotlinLogging.logger {}
 
-        /** Kind of announcement that names a limit or ends it. */
-        public const val LIMIT: String = "limit"
-
         private const val NANOS_PER_SECOND = 1_000_000_000.0
 
         /** Permits of all nodes that may be valid at once: those of this time, and two requests. */
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoads.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoads.kt
@@ -3,6 +3,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 
 /**
  * The [ServerLoad] of each known server; a restarted server starts with a new one.
@@ -13,13 +14,16 @@
 public class ServerLoads(
     private val now: () -> Moment = Moment::now,
     private val share: () -> Double = { 1.0 },
-    private val onAnnouncement: (kind: String) -> Unit = {},
+    private val onAnnouncement: (AnnouncementKind) -> Unit = {},
     private val random: Random = Random.Default
 ) {
     private data class Incarnation(val id: String, val bornMillis: Long)
 
     private val loads = ConcurrentHashMap<Incarnation, ServerLoad>()
 
+    /** Servers that have said that they are leaving. */
+    private val leaving = ConcurrentHashMap.newKeySet<Incarnation>()
+
     @Volatile
     private var lastShare: Pair<Moment, Double>? = null
 
@@ -29,13 +33,24 @@
     public fun of(server: BackendServer): ServerLoad {
         val incarnation = Incarnation(server.id, server.bornMillis)
         return loads.computeIfAbsent(incarnation) {
-            val announced = AnnouncedState(server.id, now, ::currentShare, onAnnouncement, random)
+            val onChange = { kind: AnnouncementKind ->
+                if (kind == AnnouncementKind.LEAVING) leaving += incarnation
+                onAnnouncement(kind)
+            }
+            val announced = AnnouncedState(server.id, now, ::currentShare, onChange, random)
             ServerLoad(now, announced) { failed += incarnation }
         }
     }
 
-    /** Number of servers that have named a limit. */
-    public val limitedCount: Int get() = loads.values.count { it.announced.isLimited }
+    /** Number of servers that hold requests back for a reason of [kind]. */
+    public fun heldBackCount(kind: AnnouncementKind): Int =
+        loads.values.count { kind in it.announced.kinds }
+
+    /** Ids of the servers of [service] in [fleet] that have said that they are leaving. */
+    public fun leaving(fleet: Fleet, service: String): Set<String> {
+        if (leaving.isEmpty()) return emptySet()
+        return idsOf(leaving, fleet, service)
+    }
 
     /** A request looks at many servers; the share takes a look at all nodes. */
     private fun currentShare(): Double {
@@ -48,24 +63,38 @@
     public fun avoided(fleet: Fleet, service: String): Set<String> {
         if (failed.isEmpty()) return emptySet()
         failed.removeIf { loads[it]?.avoided != true }
-        return failed.mapNotNull { incarnation ->
+        return idsOf(failed, fleet, service)
+    }
+
+    private fun idsOf(incarnations: Set<Incarnation>, fleet: Fleet, service: String) =
+        incarnations.mapNotNull { incarnation ->
             fleet.byId[incarnation.id]?.takeIf { it.matches(incarnation, service) }
         }.mapTo(mutableSetOf()) { it.id }
-    }
 
     private fun BackendServer.matches(incarnation: Incarnation, service: String) =
         bornMillis == incarnation.bornMillis && this.service == service
 
-    /** Removes the loads of servers that left [fleet] and have no request in flight. */
+    /**
+     * Removes the loads of servers that left [fleet] and have no request in flight. One that is
+     * leaving is remembered for longer: its entry may be missing for a while and return.
+     */
     public fun retain(fleet: Fleet) {
         loads.entries.removeIf { (incarnation, load) ->
-            load.ownInFlight == 0 &&
-                fleet.byId[incarnation.id]?.bornMillis != incarnation.bornMillis
+            val current = fleet.byId[incarnation.id]
+            val replaced = current != null && current.bornMillis != incarnation.bornMillis
+            val leavingFor = load.announced.leavingFor
+            val remembered = leavingFor != null && leavingFor < LEAVING_MEMORY && !replaced
+            load.ownInFlight == 0 && !remembered &&
+                current?.bornMillis != incarnation.bornMillis
         }
+        leaving.retainAll(loads.keys)
     }
 
     private companion object {
         /** Half of a heartbeat between nodes. */
         val SHARE_LIFETIME = 250.milliseconds
+
+        /** Many times the longest time for which a leaving server keeps running. */
+        val LEAVING_MEMORY = 10.minutes
     }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerSelector.kt
@@ -53,6 +53,22 @@
 
     public val fleet: Fleet get() = snapshot.get().fleet
 
+    /** The fleet without the servers that have said that they are leaving. */
+    public val stayingFleet: Fleet
+        get() {
+            val all = fleet
+            val leaving = all.ready.keys.flatMap { loads.leaving(all, it) }.toSet()
+            return if (leaving.isEmpty()) {
+                all
+            } else {
+                Fleet(
+                    all.byId.values.filter {
+                        it.id !in leaving
+                    }
+                )
+            }
+        }
+
     /** Sets the fleet and discards the cached chains of services whose servers changed. */
     public fun update(fleet: Fleet) {
         snapshot.updateAndGet { Snapshot(fleet, it) }
@@ -91,7 +107,7 @@
     public fun timeUntilTake(service: String): Duration? =
         snapshot.get().fleet.ready[service].orEmpty()
             .map { load(it).announced.timeUntilTake() }
-            .filter { it > Duration.ZERO }
+            .filter { it.isPositive() && it.isFinite() }
             .minOrNull()
 
     /**
@@ -107,9 +123,10 @@
         val current = snapshot.get()
         val model = service.model ?: return null
         val servers = current.fleet.ready[service.name].orEmpty()
-        val failed = loads.avoided(current.fleet, service.name)
+        val leaving = loads.leaving(current.fleet, service.name)
+        val failed = loads.avoided(current.fleet, service.name) + leaving
         val candidates = candidates(current, service.name, model, servers, failed)
-            .ifEmpty { candidates(current, service.name, model, servers, emptySet()) }
+            .ifEmpty { candidates(current, service.name, model, servers, leaving) }
         val at = now()
         var best: ChainChoice? = null
         var bestHealthy = false
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/AnnouncementTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/AnnouncementTest.kt
@@ -1,5 +1,6 @@
 package org.bramleytrestle.serving
 
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.milliseconds
@@ -11,13 +12,13 @@
     private data class Case(
         val name: String,
         val stream: Boolean,
-        val replies: List<ServerReply>,
+        val replies: () -> List<ServerReply>,
         val expected: String,
         val servers: List<String>
     )
 
     private val clock = FakeClock()
-    private val loads = ServerLoads(clock::now, share = { 0.0 })
+    private var loads = newLoads()
     private val plain = listOf("x", "y", "z").map { plainServer(it, if (it == "x") "a" else "b") }
     private val models = listOf("a", "b", "c").flatMap { centre ->
         listOf(
@@ -26,6 +27,14 @@
         )
     }
 
+    /** A node without a share has no permits for a server with a limit. */
+    private fun newLoads() = ServerLoads(clock::now, share = { 0.0 }, random = Random(1))
+
+    private val announcements = listOf(
+        ServerAnnouncement(requestsPerSecond = 5.0),
+        ServerAnnouncement(leaving = true)
+    )
+
     private fun announce(
         server: BackendServer,
         announcement: ServerAnnouncement,
@@ -70,36 +79,48 @@
 
     private val full = ServerReply.NotRun("full", reached = true)
     private val ok = ServerReply.Complete(200, emptyList(), ByteArray(0))
-    private val broken = events(1..2L, interrupted = true)
+    private fun broken() = events(1..2L, interrupted = true)
 
     /** Guards against a path on which an announcement is read but not obeyed. */
     @Test
     fun `no first attempt, retry or resumed stream reaches a server that holds requests back`() {
         val others = setOf("y", "z", "b-1", "c-1")
         val cases = listOf(
-            Case("first attempt", false, listOf(ok), "answer 200", listOf("x")),
-            Case("retry", false, listOf(full), "refused OVERLOADED return", listOf("x")),
-            Case("stream", true, listOf(events(1..2L)), "begin,1,2,end", listOf("a-1")),
-            Case("refused stream", true, listOf(full), "refused OVERLOADED return", listOf("a-1")),
-            Case("resumed stream", true, listOf(broken, full), "begin,1,2,abort", listOf("a-1"))
+            Case("first attempt", false, { listOf(ok) }, "answer 200", listOf("x")),
+            Case("retry", false, { listOf(full) }, "refused OVERLOADED return", listOf("x")),
+            Case("stream", true, { listOf(events(1..2L)) }, "begin,1,2,end", listOf("a-1")),
+            Case("refused stream", true, {
+                listOf(full)
+            }, "refused OVERLOADED return", listOf("a-1")),
+            Case("resumed stream", true, {
+                listOf(broken(), full)
+            }, "begin,1,2,abort", listOf("a-1"))
         )
-        for (server in (plain + models).filter { it.id in others }) {
-            announce(server, ServerAnnouncement(requestsPerSecond = 5.0))
-        }
-        for ((name, stream, replies, expected, servers) in cases) {
-            val client = ScriptedClient(*replies.toTypedArray())
-            assertEquals(expected, run(stream, client), name)
-            assertEquals(servers, client.calls.map { it.server.id }.distinct(), name)
+        for (announcement in announcements) {
+            loads = newLoads()
+            for (server in (plain + models).filter { it.id in others }) {
+                announce(server, announcement)
+            }
+            for ((name, stream, replies, expected, servers) in cases) {
+                val client = ScriptedClient(*replies().toTypedArray())
+                assertEquals(expected, run(stream, client), "$name, $announcement")
+                val reached = client.calls.map { it.server.id }.distinct()
+                assertEquals(servers, reached, "$name, $announcement")
+            }
         }
     }
 
     @Test
     fun `a request that all servers hold back is refused at once as not run`() {
-        for (server in plain + models) announce(server, ServerAnnouncement(5.0))
-        for (stream in listOf(false, true)) {
-            val before = clock.now()
-            assertEquals("refused OVERLOADED return", run(stream, ScriptedClient()))
-            assertEquals(before, clock.now())
+        for (announcement in announcements) {
+            loads = newLoads()
+            for (server in plain + models) announce(server, announcement)
+            for (stream in listOf(false, true)) {
+                val before = clock.now()
+                val got = run(stream, ScriptedClient())
+                assertEquals("refused OVERLOADED return", got, "$announcement")
+                assertEquals(before, clock.now(), "$announcement")
+            }
         }
     }
 
@@ -112,14 +133,49 @@
         for (case in cases) {
             announce(plain[0], ServerAnnouncement(5.0))
             val sentAt = clock.now() + case.sentAfter.milliseconds
-            announce(plain[0], ServerAnnouncement.NONE, sentAt)
-            assertEquals(case.limited, loads.of(plain[0]).announced.isLimited, case.name)
+            announce(plain[0], ServerAnnouncement(), sentAt)
+            assertEquals(case.limited, AnnouncementKind.LIMIT in kinds(plain[0]), case.name)
         }
     }
 
+    private fun kinds(server: BackendServer) = loads.of(server).announced.kinds
+
     @Test
-    fun `a server that has started again has announced nothing`() {
+    fun `a limit that cannot be read changes nothing that is known`() {
         announce(plain[0], ServerAnnouncement(5.0))
-        assertEquals(false, loads.of(plain[0].copy(bornMillis = 7)).announced.isLimited)
+        announce(plain[0], ServerAnnouncement(limitReadable = false), clock.now() + 1.seconds)
+        assertEquals(setOf(AnnouncementKind.LIMIT), kinds(plain[0]))
+    }
+
+    /** Guards against a server that left and is used again after an outage of the store. */
+    @Test
+    fun `a leaving server stays unused while its entry is missing and returns`() {
+        val selector = ServerSelector("a", loads, clock::now)
+        selector.update(Fleet(plain))
+        announce(plain[0], ServerAnnouncement(leaving = true))
+        selector.update(Fleet(plain.drop(1)))
+        clock.advance(30.seconds)
+        selector.update(Fleet(plain))
+        assertEquals("y", selector.takeServer("desk", emptySet())?.id)
+    }
+
+    @Test
+    fun `no chain and no plan of layers contains a leaving server`() {
+        val selector = ServerSelector("a", loads, clock::now)
+        selector.update(Fleet(models))
+        announce(models.single { it.id == "a-2" }, ServerAnnouncement(leaving = true))
+        val service = BackendService("model", model.copy(layerMegabytes = 500.0))
+        repeat(20) {
+            val chain = checkNotNull(selector.chain(service, emptySet())).chain
+            assertEquals(false, chain.stages.any { it.server.id == "a-2" }, chain.label)
+        }
+        assertEquals(models.size - 1, selector.stayingFleet.byId.size)
+    }
+
+    @Test
+    fun `a server that has started again has announced nothing`() {
+        announce(plain[0], ServerAnnouncement(5.0, leaving = true))
+        assertEquals(setOf(AnnouncementKind.LIMIT, AnnouncementKind.LEAVING), kinds(plain[0]))
+        assertEquals(emptySet(), kinds(plain[0].copy(bornMillis = 7)))
     }
 }
