Send nothing to a server for the time that it named with its refusal

The time was passed on to callers where the refusal was, and not obeyed by the node: retries and new requests reached the server meanwhile.

Change: the record holds the time until which a server wants nothing from this node, on the monotonic clock, and up to a quarter and a second longer, so that nodes that were refused together return one by one. A request that all servers hold back is refused at once, and told to return when the first of them takes requests.

Evidence: AnnouncementTest without the check: requests at 1.99 s of 2 s, no spread ('expected: <20> but was: <1>'), sends beyond the script.

--- a/backend/src/main/kotlin/org/bramleytrestle/backend/RetryAfterInterceptor.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/RetryAfterInterceptor.kt
@@ -14,8 +14,9 @@
 
     override fun intercept(chain: Interceptor.Chain): Response {
         val response = chain.proceed(chain.request())
-        val value = response.header(RETRY_AFTER) ?: return response
-        return response.newBuilder().removeHeader(RETRY_AFTER).header(RENAMED, value).build()
+        val values = response.headers(RETRY_AFTER).ifEmpty { return response }
+        return response.newBuilder().removeHeader(RETRY_AFTER)
+            .apply { values.forEach { addHeader(RENAMED, it) } }.build()
     }
 
     /** Returns the name under which the server sent the header [name]. */
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AnnouncedState.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AnnouncedState.kt
@@ -5,6 +5,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.nanoseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * What one start of a server has announced in its answers to this node, and whether this node may
@@ -57,11 +58,26 @@
             log.info { "servers: server=$server leaving request=$requestId" }
             onChange(AnnouncementKind.LEAVING)
         }
+        announcement.wait?.let { readWait(it, requestId) }
         if (announcement.limitReadable) {
             readLimit(announcement.requestsPerSecond, requestId, sentAt)
         }
     }
 
+    private fun readWait(wait: Duration, requestId: String) {
+        // Nodes that the server refused at the same time do not all return at the same time.
+        val spread = minOf(wait * WAIT_SPREAD, MAX_WAIT_SPREAD) * random.nextDouble()
+        val nanos = now().monotonicNanos
+        val waited = waitTime(nanos) > 0
+        val until = nanos + (wait + spread).inWholeNanoseconds
+        waitUntilNanos.updateAndGet { known ->
+            if (known == null || until - known > 0) until else known
+        }
+        if (waited) return
+        log.info { "servers: server=$server wait=$wait spread=$spread request=$requestId" }
+        onChange(AnnouncementKind.WAIT)
+    }
+
     private fun readLimit(named: Double?, requestId: String, sentAt: Moment) {
         while (true) {
             val known = limit.get()
@@ -148,6 +164,10 @@
     private companion object {
         private val log = KotlinLogging.logger {}
 
+        /** Part of the time that a server named by which requests return later, at random. */
+        private const val WAIT_SPREAD = 0.25
+        private val MAX_WAIT_SPREAD = 1.seconds
+
         private const val NANOS_PER_SECOND = 1_000_000_000.0
 
         /** Permits of all nodes that may be valid at once: those of this time, and two requests. */
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/AnnouncementTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/AnnouncementTest.kt
@@ -32,7 +32,8 @@
 
     private val announcements = listOf(
         ServerAnnouncement(requestsPerSecond = 5.0),
-        ServerAnnouncement(leaving = true)
+        ServerAnnouncement(leaving = true),
+        ServerAnnouncement(wait = 30.seconds)
     )
 
     private fun announce(
@@ -147,6 +148,52 @@
         assertEquals(setOf(AnnouncementKind.LIMIT), kinds(plain[0]))
     }
 
+    /** Guards against requests that reach a server before the time that it named has passed. */
+    @Test
+    fun `a server gets nothing until its wait has passed, whatever its other answers say`() {
+        announce(plain[0], ServerAnnouncement(wait = 2.seconds))
+        announce(plain[0], ServerAnnouncement(wait = 100.milliseconds))
+        announce(plain[0], ServerAnnouncement())
+        val announced = loads.of(plain[0]).announced
+        clock.advance(1_990.milliseconds)
+        assertEquals(false, announced.tryTake())
+        clock.advance(510.milliseconds)
+        assertEquals(true, announced.tryTake())
+    }
+
+    /** Guards against a wall clock that jumps ahead and ends the wait. */
+    @Test
+    fun `a wait is measured on the monotonic clock`() {
+        announce(plain[0], ServerAnnouncement(wait = 2.seconds))
+        clock.moment = clock.moment.copy(wallMillis = clock.moment.wallMillis + 60_000)
+        assertEquals(false, loads.of(plain[0]).announced.mayTake())
+    }
+
+    /** Guards against requests of all nodes that reach a server at once as its wait ends. */
+    @Test
+    fun `nodes that a server refused at the same time return at different times`() {
+        val ends = (1..20).map { seed ->
+            val node = ServerLoads(clock::now, random = Random(seed))
+            val announced = node.of(plain[0]).announced
+            announced.read(ServerAnnouncement(wait = 2.seconds), "r", clock.now())
+            announced.timeUntilTake()
+        }
+        assertEquals(20, ends.distinct().size)
+        assertEquals(true, ends.all { it in 2.seconds..2.5.seconds })
+    }
+
+    /** Guards against a return of all callers before any server takes them. */
+    @Test
+    fun `callers are told to return when the first server takes requests again`() {
+        announce(plain[0], ServerAnnouncement(wait = 6.seconds))
+        announce(plain[1], ServerAnnouncement(wait = 2.seconds))
+        announce(plain[2], ServerAnnouncement(leaving = true))
+        val selector = ServerSelector("a", loads, clock::now)
+        selector.update(Fleet(plain))
+        val time = checkNotNull(selector.timeUntilTake("desk"))
+        assertEquals(true, time in 2.seconds..2.5.seconds, "$time")
+    }
+
     /** Guards against a server that left and is used again after an outage of the store. */
     @Test
     fun `a leaving server stays unused while its entry is missing and returns`() {
@@ -174,8 +221,8 @@
 
     @Test
     fun `a server that has started again has announced nothing`() {
-        announce(plain[0], ServerAnnouncement(5.0, leaving = true))
-        assertEquals(setOf(AnnouncementKind.LIMIT, AnnouncementKind.LEAVING), kinds(plain[0]))
+        announce(plain[0], ServerAnnouncement(5.0, leaving = true, wait = 30.seconds))
+        assertEquals(AnnouncementKind.entries.toSet(), kinds(plain[0]))
         assertEquals(emptySet(), kinds(plain[0].copy(bornMillis = 7)))
     }
 }
