Send no orders and no questions to a server that leaves or waits

Evidence: without the checks PlacementControllerTest 'a server that holds requests back gets its order afterwards' and AnnouncementTest 'a server that waits or leaves is not asked why a chain stalled' fail (the order is sent; the question is asked). The check whether a server has ended after its connection broke is still made: it decides whether a prompt is to blame.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AnnouncedState.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AnnouncedState.kt
@@ -100,6 +100,10 @@
         }
     }
 
+    /** Whether the server may be asked for its state or get an order, which are no requests. */
+    public val acceptsControl: Boolean
+        get() = leavingSince.get() == null && waitTime(now().monotonicNanos) == 0L
+
     /** Whether [tryTake] would succeed now. */
     public fun mayTake(): Boolean = timeUntilTake() <= Duration.ZERO
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlacementController.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlacementController.kt
@@ -16,6 +16,7 @@
  * arrives late, after a newer one, has no effect.
  *
  * @param holdsLease whether the lease is valid long enough for one more order.
+ * @param accepts whether a server may get an order now.
  * @param runAll runs the given calls to servers, in any order or concurrently, and returns when
  * all have ended.
  */
@@ -23,6 +24,7 @@
     private val orders: PlacementOrders,
     private val holdsLease: () -> Boolean,
     private val now: () -> Moment = Moment::now,
+    private val accepts: (BackendServer) -> Boolean = { true },
     private val runAll: (List<() -> Unit>) -> Unit = { calls -> calls.forEach { it() } }
 ) {
     private data class Incarnation(val id: String, val bornMillis: Long)
@@ -92,6 +94,7 @@
             state.sentOrders -= incarnation
             return false
         }
+        if (!accepts(server)) return false
         val pending = state.sentOrders[incarnation] ?: return true
         return pending.layers != layers || now().since(pending.at) >= pending.timeout
     }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StallInspector.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StallInspector.kt
@@ -24,6 +24,7 @@
         if (last != null && nanos - last < QUERY_INTERVAL_NANOS) return
         lastQueryNanos[chain.first.id] = nanos
         schedule(REPORT_LAG) {
+            if (!selector.load(chain.first).announced.acceptsControl) return@schedule
             val address = diagnosis.faultyAddress(chain.first)
             log.info { "routing: chain=${chain.label} stalled at=$address" }
             if (address != null) selector.stageFailed(chain, address)
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/AnnouncementTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/AnnouncementTest.kt
@@ -206,6 +206,24 @@
         assertEquals("y", selector.takeServer("desk", emptySet())?.id)
     }
 
+    /** Guards against reports that are asked of a server which wants nothing for a time. */
+    @Test
+    fun `a server that waits or leaves is not asked why a chain stalled`() {
+        val selector = ServerSelector("a", loads, clock::now)
+        selector.update(Fleet(models))
+        val chain = Chain(models.take(2).map { Stage(it, checkNotNull(it.held)) }, 1.0, 1)
+        for (announcement in listOf(ServerAnnouncement(), ServerAnnouncement(wait = 2.seconds))) {
+            var asked = 0
+            val diagnosis = ChainDiagnosis {
+                asked++
+                null
+            }
+            announce(models[0], announcement)
+            StallInspector(selector, diagnosis, { _, task -> task() }, clock::now).onStall(chain)
+            assertEquals(if (announcement.wait == null) 1 else 0, asked)
+        }
+    }
+
     @Test
     fun `no chain and no plan of layers contains a leaving server`() {
         val selector = ServerSelector("a", loads, clock::now)
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PlacementControllerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PlacementControllerTest.kt
@@ -46,6 +46,27 @@
         assertEquals(centre("a").size, orders.placed.size)
     }
 
+    /** Guards against orders to a server that wants nothing for a time. */
+    @Test
+    fun `a server that holds requests back gets its order afterwards`() {
+        var waiting = true
+        val patient = PlacementController(
+            orders,
+            { holdsLease },
+            clock::now,
+            accepts = { it.id != "a-middle-1" || !waiting }
+        )
+        val fleet = Fleet(centre("a"))
+        patient.step(fleet, config)
+        clock.advance(2.seconds)
+        patient.step(fleet, config)
+        val others = centre("a").map { it.id } - "a-middle-1"
+        assertEquals(others.toSet(), orders.placed.map { it.first }.toSet())
+        waiting = false
+        patient.step(fleet, config)
+        assertEquals("a-middle-1", orders.placed.last().first)
+    }
+
     @Test
     fun `servers that come and go do not delay the repair of the others`() {
         val plan = LayerPlanner(model).plan(centre("a").map(::placed)).layers
