Wait before the next search when another request took a chain's permit

A search that finds the chain again at once would keep the thread busy until another permit is valid. Also drops the time until the next permit from the detail of a refusal that had another reason. Found by reading; no test.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -83,15 +83,14 @@
             val choice = selector.chain(task.service, avoided) { first ->
                 attempts.allows(first) && (retryRefused || first.id !in progress.stalled)
             }
+            attempts.heldBackFor =
+                if (choice == null) selector.timeUntilTake(task.service.name) else null
             val keepWaiting = when {
-                choice == null -> {
-                    attempts.heldBackFor = selector.timeUntilTake(task.service.name)
-                    progress.begun
-                }
+                choice == null -> progress.begun
                 progress.begun || choice.utilisation <= FULL -> {
                     if (selector.takeFirst(choice.chain)) return choice
-                    // Another request took the permit; the next search leaves the chain out.
-                    continue
+                    // Another request took the permit meanwhile; another chain may have one.
+                    true
                 }
                 else -> choice.utilisation <= OVERLOADED
             }
