Let a stream that has begun outlast servers that refuse connections

Cause: after three servers that refused the connection the request ended, also in the middle of an answer; a release can show three within milliseconds.

Change: a stream that has begun may meet eight; each one is avoided at once, and the caller waits for 2 s.

Evidence: StreamExecutorTest 'an interrupted stream outlasts servers that refuse connections' failed before: 'begin,1,2,abort'.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
@@ -50,11 +50,16 @@
     /** Whether the next new server is the last one that the route allows. */
     val onLastServer: Boolean get() = servers.size + 1 >= task.route.maxServers
 
-    /** Whether the deadline, the caller's connection and the route allow another attempt. */
-    fun canAttempt(): Boolean = active.cancelCause != CancelCause.DEADLINE &&
+    /**
+     * Whether the deadline, the caller's connection and the route allow another attempt.
+     *
+     * @param begun whether the caller has received a part of the answer, so that giving up costs
+     * more than trying servers which may have gone.
+     */
+    fun canAttempt(begun: Boolean = false): Boolean = active.cancelCause != CancelCause.DEADLINE &&
         active.cancelCause != CancelCause.DEPARTED &&
         sends < task.route.maxServers * SENDS_PER_SERVER &&
-        connectFailures <= MAX_CONNECT_FAILURES &&
+        connectFailures <= (if (begun) MAX_RESUME_CONNECT_FAILURES else MAX_CONNECT_FAILURES) &&
         remaining > minRemaining &&
         !withheld
 
@@ -138,5 +143,8 @@
 
         /** A failed connect does not count as a used server, but too many end the request. */
         const val MAX_CONNECT_FAILURES = 2
+
+        /** The same for a stream that has begun; callers wait 2 s, eight attempts to connect. */
+        const val MAX_RESUME_CONNECT_FAILURES = 8
     }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -50,7 +50,7 @@
         try {
             budgets.countFirst(task.service.name)
             progress.attempts.lastReason = "no chain covers the model"
-            while (progress.attempts.canAttempt()) {
+            while (progress.attempts.canAttempt(progress.begun)) {
                 val choice = chooseChain(task, progress) ?: break
                 if (!progress.attempts.acquire()) break
                 attempt(task, choice, progress, active)?.let { return it }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -16,7 +16,7 @@
         val resumesAfter: List<Long?>
     )
 
-    private val servers = listOf("a", "b", "c").flatMap { centre ->
+    private fun servers(vararg centres: String) = centres.flatMap { centre ->
         listOf(
             modelServer("$centre-1", centre, "large", LayerRange(0, 40)),
             modelServer("$centre-2", centre, "large", LayerRange(40, 80))
@@ -28,12 +28,13 @@
         client: ServerClient,
         prompt: Prompt? = null,
         quarantine: PromptQuarantine = emptyQuarantine(),
-        reply: RecordedReply = RecordedReply()
+        reply: RecordedReply = RecordedReply(),
+        fleet: List<BackendServer> = servers("a", "b", "c")
     ): String {
         val clock = FakeClock()
         val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
         val service = BackendService("model", model.copy(layerMegabytes = 500.0))
-        selector.update(Fleet(servers))
+        selector.update(Fleet(fleet))
         val budgets = establishedBudgets(1.0, 10)
         val executor = StreamExecutor(
             selector,
@@ -156,6 +157,16 @@
         }
     }
 
+    /** Guards against a stream that is lost to servers which a release has just taken away. */
+    @Test
+    fun `an interrupted stream outlasts servers that refuse connections`() {
+        val refused = ServerReply.NotRun("no connection", reached = false)
+        val replies = listOf(events(1..2L, interrupted = true)) + List(5) { refused }
+        val client = ScriptedClient(*replies.toTypedArray(), events(3..4L))
+        val fleet = servers("a", "b", "c", "d", "e", "f", "g")
+        assertEquals("begin,1,2,3,4,end", run(resumable = true, client, fleet = fleet))
+    }
+
     /** Never answers; records whether the exchange was cancelled. */
     private class StallingClient(private val stall: () -> Unit) : ServerClient {
         var cancelled = false
@@ -186,7 +197,7 @@
     private fun cancelsStalled(case: StallCase): Boolean {
         val clock = FakeClock()
         val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
-        val known = servers.filter { it.dataCentre in case.centres }
+        val known = servers("a", "b", "c").filter { it.dataCentre in case.centres }
         selector.update(Fleet(known))
         val watchdog = Watchdog(clock::now)
         val client = StallingClient {
