--- a/store/src/main/kotlin/org/bramleytrestle/store/StoreResponse.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/StoreResponse.kt
@@ -16,6 +16,9 @@
     public val successful: Boolean get() = response.isSuccessful
     public val source: BufferedSource get() = response.body.source()
 
+    /** The last header of this name, or null. */
+    public fun header(name: String): String? = response.header(name)
+
     /** Whether the body has been read to its end. */
     internal var exhausted = false
         private set
