--- a/serving/src/main/kotlin/org/bramleytrestle/serving/KindWatcher.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/KindWatcher.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.delay
 import org.bramleytrestle.store.BatchWatchStore
 import org.bramleytrestle.store.StoreError
+import org.bramleytrestle.store.StoreVersion
 
 /**
  * Keeps [copy] in sync with the store, by list and watch.
@@ -53,7 +54,10 @@
                 { error ->
                     if (error == StoreError.EXPIRED) {
                         log.info {
-                            "store: kind=${copy.kind} history after $version expired, listing"
+                            "store: kind=${copy.kind} history after ${StoreVersion.text(
+                                version
+                            )} " +
+                                "expired, listing"
                         }
                         return
                     }
