Keep one holder of a lease when the store loses its record

After a return of the store from an older copy, a second node could create or take the placement lease at once, while the first one still held it: the record was missing, released, or of an earlier run.

A record states the era in which it was written. One of an earlier era, or none where the store is known to have gone back, is taken over only after a full duration without a change. A holder whose lease is valid writes its record again. Fencing numbers start above those of earlier eras.

--- a/store/src/main/kotlin/org/bramleytrestle/store/Lease.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/Lease.kt
@@ -20,6 +20,10 @@
  * was sent. The lease of another holder has expired when the version of its record has not changed
  * for the full duration since this process first observed that version. The record is never
  * deleted, so that fencing numbers only increase.
+ *
+ * A store that comes back from an older copy may have lost the record of the present holder. The
+ * holder writes it again while its lease is valid. Any other process first waits for a full
+ * duration, whatever the older record says, and fencing numbers start above those of earlier eras.
  */
 public class Lease internal constructor(
     private val store: ObjectStore,
@@ -42,6 +46,9 @@
     private var observedVersion = 0L
     private var observedAt = Duration.ZERO
 
+    /** Era in which the record was first found missing, and when; null if it was there since. */
+    private var missing: Pair<Long, Duration>? = null
+
     @Volatile
     private var held: HeldLease? = null
 
@@ -110,7 +117,12 @@
     public suspend fun release(): Unit = mutex.withLock {
         val current = held ?: return
         held = null
-        val record = LeaseRecord(null, current.fencingNumber, duration.inWholeMilliseconds)
+        val record = LeaseRecord(
+            null,
+            current.fencingNumber,
+            duration.inWholeMilliseconds,
+            era = StoreVersion.era(current.version)
+        )
         store.update(KIND, name, encoded(record), current.version)
     }
 
@@ -130,58 +142,95 @@
     }
 
     private suspend fun renew(current: HeldLease) {
-        val record = LeaseRecord(
-            holder,
-            current.fencingNumber,
-            duration.inWholeMilliseconds,
-            current.renewals + 1
-        )
+        val record = renewed(current, StoreVersion.era(current.version))
         val sentAt = now()
         store.update(KIND, name, encoded(record), current.version)
             .mapBoth({ setHeld(record, it, sentAt) }, { onRenewalFailed(current, it) })
     }
 
+    private fun renewed(current: HeldLease, era: Long) = LeaseRecord(
+        holder,
+        current.fencingNumber,
+        duration.inWholeMilliseconds,
+        current.renewals + 1,
+        era
+    )
+
     /** Reads the current version for the next renewal, but never extends the lease. */
     private suspend fun onRenewalFailed(current: HeldLease, error: StoreError) {
         if (error == StoreError.UNAVAILABLE) return
-        val found = store.get(KIND, name).getOrElse { return }
+        val found = store.get(KIND, name).getOrElse {
+            if (it == StoreError.NOT_FOUND) writeLostRecord(current)
+            return
+        }
         if (found.version < current.version) return
         val record = decoded(found)
         val isOwn = record.holder == holder && record.fencingNumber == current.fencingNumber
-        held = if (isOwn) {
-            HeldLease(record.fencingNumber, found.version, record.renewals, current.validUntil)
+        val isLost = record.era < StoreVersion.era(found.version)
+        held = if (isOwn || isLost) {
+            HeldLease(current.fencingNumber, found.version, record.renewals, current.validUntil)
         } else {
             null
         }
     }
 
+    private suspend fun writeLostRecord(current: HeldLease) {
+        if (remaining == Duration.ZERO) return
+        val record = renewed(current, store.era)
+        val sentAt = now()
+        store.create(KIND, name, encoded(record)).mapBoth(
+            { setHeld(record, it, sentAt) },
+            { log.warn { "lease: name=$name lost by the store and not written again: $it" } }
+        )
+    }
+
     private suspend fun acquire() {
         val found = store.get(KIND, name).getOrElse {
             if (it == StoreError.NOT_FOUND) createFirst()
             return
         }
+        missing = null
         recordVersion(found.version)
         val record = decoded(found)
+        val era = StoreVersion.era(found.version)
+        val isLost = record.era < era
         val leaseDuration = maxOf(duration, record.durationMillis.milliseconds)
         // The record names this holder if the response to an earlier write was lost, or if the
         // lease expired without a successor.
         val lastHolder = record.holder
         val free = lastHolder == null || lastHolder == holder || isPreviousRun(lastHolder)
-        if (!free && now() - observedAt < leaseDuration) return
-        val next = LeaseRecord(holder, record.fencingNumber + 1, duration.inWholeMilliseconds)
+        if ((isLost || !free) && now() - observedAt < leaseDuration) return
+        val next = LeaseRecord(
+            holder,
+            maxOf(record.fencingNumber + 1, firstFencingNumber(era)),
+            duration.inWholeMilliseconds,
+            era = era
+        )
         val sentAt = now()
-        val unfencedDelay =
-            if (record.holder == null) maxOrderDuration else leaseDuration + maxOrderDuration
+        val released = record.holder == null && !isLost
+        val unfencedDelay = if (released) maxOrderDuration else leaseDuration + maxOrderDuration
         tryAcquire(next, sentAt, unfencedDelay) {
             store.update(KIND, name, encoded(next), found.version)
         }
     }
 
     private suspend fun createFirst() {
-        val first = LeaseRecord(holder, 1, duration.inWholeMilliseconds)
-        tryAcquire(first, now(), Duration.ZERO) { store.create(KIND, name, encoded(first)) }
+        val era = store.era
+        val mayBeLost = era > 0
+        if (missing?.first != era) missing = era to now()
+        if (mayBeLost && now() - checkNotNull(missing).second < duration) return
+        val first = LeaseRecord(
+            holder,
+            firstFencingNumber(era),
+            duration.inWholeMilliseconds,
+            era = era
+        )
+        val unfencedDelay = if (mayBeLost) duration + maxOrderDuration else Duration.ZERO
+        tryAcquire(first, now(), unfencedDelay) { store.create(KIND, name, encoded(first)) }
     }
 
+    private fun firstFencingNumber(era: Long) = maxOf(1, era * FENCING_NUMBERS_PER_ERA)
+
     private suspend fun tryAcquire(
         record: LeaseRecord,
         sentAt: Duration,
@@ -215,6 +264,9 @@
         val log = KotlinLogging.logger {}
         const val KIND = "leases"
         const val ATTEMPTS_PER_DURATION = 4
+
+        /** More than the takeovers between two returns of the store from an older copy. */
+        const val FENCING_NUMBERS_PER_ERA = 1L shl 32
         val format = Json { ignoreUnknownKeys = true }
     }
 }
--- a/store/src/main/kotlin/org/bramleytrestle/store/ObjectStore.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/ObjectStore.kt
@@ -6,6 +6,9 @@
 
 /** Client of the platform's object API, which holds all durable state of the system. */
 public interface ObjectStore {
+    /** Number of times the store is known to have come back from an older copy. */
+    public val era: Long get() = 0
+
     public suspend fun get(kind: String, name: String): Result<StoredObject, StoreError>
 
     /** Lists at most [limit] objects of [kind], in name order from [fromName] (inclusive). */
--- a/store/src/test/kotlin/org/bramleytrestle/store/FakeObjectStore.kt
+++ b/store/src/test/kotlin/org/bramleytrestle/store/FakeObjectStore.kt
@@ -34,6 +34,23 @@
     var expireNextWatch = false
     val callsByKind = TreeMap<String, Int>()
 
+    override var era = 0L
+        private set
+
+    /** Comes back from a copy that lacks the last [lostWrites] writes. */
+    fun restore(lostWrites: Int) {
+        val copy = states[maxOf(0, states.lastIndex - lostWrites)]
+        era++
+        fun restored(old: Long) = StoreVersion.of(era, StoreVersion.revision(old))
+        val kept = copy.objects.mapValues { it.value.copy(version = restored(it.value.version)) }
+        objects.clear()
+        objects += kept
+        history.clear()
+        states.clear()
+        states += State(restored(copy.version), kept)
+        version.value = restored(copy.version)
+    }
+
     override suspend fun get(kind: String, name: String): Result<StoredObject, StoreError> {
         if (!startCall("get $kind")) return Err(StoreError.UNAVAILABLE)
         return readState().objects[kind to name]?.let { Ok(it) } ?: Err(StoreError.NOT_FOUND)
--- a/store/src/test/kotlin/org/bramleytrestle/store/LeaseTest.kt
+++ b/store/src/test/kotlin/org/bramleytrestle/store/LeaseTest.kt
@@ -63,6 +63,72 @@
         }
     }
 
+    // Guards against a second holder after the store has lost the record of the first one, or has
+    // returned a record that names another holder, none, or an earlier run.
+    @Test
+    fun `only one holder may send orders at a time also when the store loses leases`() = runTest {
+        checkAll(60, PropTestConfig(seed = 12), Arb.long()) { seed ->
+            val random = Random(seed)
+            val store = FakeObjectStore(random)
+            store.responseLossProbability = 0.1
+            var lastFencingNumber = 0L
+            val until = currentTime + 300_000
+            val orderEnds = mutableMapOf<Int, Long>()
+            val holders = List(3) { index ->
+                launch {
+                    var run = 0
+                    while (currentTime < until) {
+                        val lease = LeaseManager(
+                            store,
+                            "h$index/${run++}",
+                            10.seconds,
+                            2.seconds,
+                            testTimeSource
+                        ) { it.startsWith("h$index/") }.lease("m")
+                        repeat(random.nextInt(1, 20)) {
+                            lease.acquireOrRenew()
+                            lease.ifHeld { fencingNumber ->
+                                val others = orderEnds.filter { it.key != index }
+                                assertTrue(others.none { it.value > currentTime }, "seed $seed")
+                                assertTrue(fencingNumber >= lastFencingNumber, "seed $seed")
+                                lastFencingNumber = fencingNumber
+                                orderEnds[index] = currentTime + 2000
+                            }
+                            delay(random.nextLong(3_000))
+                            val orderEnded = (orderEnds[index] ?: 0) <= currentTime
+                            if (orderEnded && random.nextInt(10) == 0) lease.release()
+                        }
+                        delay(random.nextLong(2_000))
+                    }
+                }
+            }
+            while (currentTime < until) {
+                delay(random.nextLong(30_000))
+                store.restore(lostWrites = random.nextInt(12))
+            }
+            holders.forEach { it.join() }
+            assertTrue(lastFencingNumber > 1)
+        }
+    }
+
+    // Guards against a gap in placement after each return of the store from an older copy.
+    @Test
+    fun `a holder whose record the store has lost keeps the lease`() = runTest {
+        for (lostWrites in 1..4) {
+            val store = FakeObjectStore()
+            val other = lease(store, "other")
+            other.acquireOrRenew()
+            other.release()
+            val lease = lease(store, "a")
+            repeat(2) { assertTrue(lease.acquireOrRenew()) }
+            store.restore(lostWrites)
+            repeat(6) {
+                delay(4.seconds)
+                assertTrue(lease.acquireOrRenew(), "$lostWrites writes lost, renewal $it")
+            }
+        }
+    }
+
     @Test
     fun `validity counts from before the request was sent`() = runTest {
         val store = FakeObjectStore()
