Write the peers' secret and registrations again after the store went back

A store that came back from an older copy no longer knew nodes that had registered since. Running nodes never wrote their entries again: nodes that started later did not find them or created another secret and so another cluster, and the share of the retry budget was counted over fewer nodes (NodeDirectoryTest, two new tests; both failed before).

Registrations that were listed once go on to count.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/NodeDirectory.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/NodeDirectory.kt
@@ -22,6 +22,9 @@
 
 /** Peer discovery through the store: the nodes' shared secret and their peer addresses. */
 public class NodeDirectory(private val store: ObjectStore) {
+    private var ownSecret: String? = null
+    private var ownEntry: Pair<String, JsonObject>? = null
+
     /** The secret that all nodes share; the first node to ask creates it. */
     public suspend fun secret(): ByteArray {
         while (true) {
@@ -29,7 +32,10 @@
                 { it.value.jsonPrimitive.contentOrNull },
                 { error -> if (error == StoreError.NOT_FOUND) createSecret() else null }
             )
-            if (found != null) return HexFormat.of().parseHex(found)
+            if (found != null) {
+                ownSecret = found
+                return HexFormat.of().parseHex(found)
+            }
             delay(RETRY_DELAY)
         }
     }
@@ -50,6 +56,38 @@
             put(DATA_CENTRE, dataCentre)
             put(CAPACITY, capacity)
         }
+        ownEntry = id to value
+        writeEntry(id, value)
+    }
+
+    /**
+     * Writes the secret and this node's registration again, which a store that came back from an
+     * older copy may have lost. Nodes that start later would form another cluster or not know this
+     * one.
+     */
+    public suspend fun writeAgain() {
+        ownSecret?.let { keepSecret(JsonPrimitive(it)) }
+        ownEntry?.let { (id, value) -> writeEntry(id, value) }
+    }
+
+    private suspend fun keepSecret(value: JsonPrimitive) {
+        while (true) {
+            val error = store.create(SECRETS, CURRENT, value).mapBoth({ return }, { it })
+            if (error == StoreError.ALREADY_EXISTS) {
+                val known = store.get(SECRETS, CURRENT).getOrElse { null }
+                if (known?.value == value) return
+                // A node that started in between created another one, which nobody else uses.
+                if (known != null) {
+                    log.warn { "membership: replacing a secret newer than the store's return" }
+                    if (store.update(SECRETS, CURRENT, value, known.version).isOk) return
+                }
+            }
+            log.warn { "membership: the secret was not written again: $error" }
+            delay(RETRY_DELAY)
+        }
+    }
+
+    private suspend fun writeEntry(id: String, value: JsonObject) {
         while (true) {
             val error = store.create(NODES, id, value).mapBoth({ return }, { it })
             if (error == StoreError.ALREADY_EXISTS) {
@@ -64,11 +102,13 @@
 
     /** Peer addresses of all nodes that have ever registered. */
     public suspend fun peers(): Result<List<String>, StoreError> = store.list(NODES).map { found ->
-        registered = found.items.mapNotNull(::registration)
+        val listed = found.items.mapNotNull(::registration)
+        // Registrations are never removed, so one that is missing was lost by the store.
+        registered = (registered + listed).associateBy { it.id }.values.toList()
         found.items.mapNotNull(::address)
     }
 
-    /** Nodes as of the last call of [peers], including those that are gone for good. */
+    /** All nodes that calls of [peers] have found, including those that are gone for good. */
     @Volatile
     public var registered: List<NodeRegistration> = emptyList()
         private set
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/NodeDirectoryTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/NodeDirectoryTest.kt
@@ -1,8 +1,11 @@
 package org.bramleytrestle.serving
 
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import kotlin.test.Test
+import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import kotlinx.coroutines.test.runTest
 import kotlinx.serialization.json.JsonPrimitive
 
@@ -35,4 +38,35 @@
         val peers = directory.peers().getOrElse { error("$it") }
         assertEquals(true, "10.0.0.2:7000" in peers)
     }
+
+    /** Nodes that start after the restore must find the running ones and use their secret. */
+    @Test
+    fun `a running node writes again what a restored store has lost`() = runTest {
+        for (secretOfAnother in listOf(null, JsonPrimitive("00"))) {
+            val store = MemoryStore()
+            val directory = NodeDirectory(store)
+            val secret = directory.secret()
+            directory.register("a", "10.0.0.1:1", "dc", capacity = 5)
+            directory.peers()
+            store.objects.clear()
+            secretOfAnother?.let { store.put("peer-secrets", "current", it) }
+            assertEquals(listOf("a"), directory.registered.map { it.id })
+            directory.writeAgain()
+            val starting = NodeDirectory(store)
+            assertContentEquals(secret, starting.secret())
+            assertTrue("10.0.0.1:1" in starting.peers().get()!!)
+        }
+    }
+
+    /** Each node takes its part of the retry budget from the number of registered nodes. */
+    @Test
+    fun `registrations that a restored store has lost still count`() = runTest {
+        val store = MemoryStore()
+        val directory = NodeDirectory(store)
+        for (id in listOf("a", "b")) directory.register(id, "10.0.0.1:1", "dc")
+        directory.peers()
+        store.objects -= "b"
+        directory.peers()
+        assertEquals(listOf("a", "b"), directory.registered.map { it.id })
+    }
 }
