Keep and store again crash evidence that a restored store has lost

After a return of the store from an older copy all nodes dropped the evidence against prompt parts that crash servers, and sent such prompts to servers again; parts that had been cleared were suspect again. Nodes go on with the evidence that they had, and those that read the store write it again. With the new code switched off, both new tests fail (CrashEvidenceStoreTest, PromptQuarantineTest).

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/CrashEvidenceStore.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/CrashEvidenceStore.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.json.Json
 import org.bramleytrestle.store.ObjectStore
 import org.bramleytrestle.store.StoreError
+import org.bramleytrestle.store.StoreVersion
 import org.bramleytrestle.store.StoredObject
 import org.bramleytrestle.store.StoredObjectList
 import org.bramleytrestle.store.WatchBatch
@@ -18,18 +19,26 @@
  * Crash evidence in the store, where it outlives the nodes that observed it.
  *
  * @param onChange called with all evidence after each change.
+ * @param onLost called with the evidence that a store which came back from an older copy lacks,
+ * before [onChange].
  */
 public class CrashEvidenceStore(
     private val store: ObjectStore,
     private val onChange: (Collection<CrashEvidence>) -> Unit,
+    private val onLost: (Collection<CrashEvidence>) -> Unit = {},
     private val now: () -> Moment = Moment::now
 ) {
     private val items = HashMap<String, Pair<CrashEvidence, Long>>()
+    private var era = 0L
 
     @Synchronized
     public fun replace(list: StoredObjectList) {
+        val before = items.values.map { it.first }
         items.clear()
         list.items.forEach(::put)
+        val restored = StoreVersion.era(list.version) > era
+        era = StoreVersion.era(list.version)
+        if (restored) onLost(before.filterNot(::isStored))
         onChange(items.values.map { it.first })
     }
 
@@ -39,6 +48,11 @@
         onChange(items.values.map { it.first })
     }
 
+    private fun isStored(evidence: CrashEvidence): Boolean {
+        val stored = items[evidence.prompt]?.first ?: return false
+        return stored.merge(evidence) == stored
+    }
+
     /** Stores [evidence], merged with what is stored; tries again while the store is away. */
     public suspend fun merge(evidence: CrashEvidence) {
         val until = evidence.seenMillis + PromptQuarantine.LIFETIME.inWholeMilliseconds
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PromptQuarantine.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PromptQuarantine.kt
@@ -96,13 +96,30 @@
     public fun update(evidence: Collection<CrashEvidence>) {
         shared = evidence.associateBy { it.prompt }
         isLoaded = true
-        observed.values.removeIf { own ->
-            shared[own.prompt]?.servers.orEmpty().containsAll(own.servers)
-        }
+        observed.values.removeIf(::isShared)
         refresh()
         if (blocks.get().suspects.any { it in answered }) scheduleClearing()
     }
 
+    /** Goes on with [evidence] that the store has lost, until it is stored again. */
+    @Synchronized
+    public fun keep(evidence: Collection<CrashEvidence>) {
+        if (evidence.isEmpty()) return
+        log.warn { "prompts: evidence lost by the store=${evidence.map { it.prompt }}" }
+        for (lost in evidence) observed.merge(lost.prompt, lost, CrashEvidence::merge)
+        // Most nodes find that another one has stored it.
+        schedule(MAX_CLEAR_DELAY * random.nextDouble()) {
+            if (mayClear()) unshared(evidence.map { it.prompt }).forEach(share)
+        }
+    }
+
+    @Synchronized
+    private fun unshared(prompts: Collection<String>) =
+        prompts.mapNotNull { observed[it] }.filterNot(::isShared)
+
+    private fun isShared(own: CrashEvidence): Boolean =
+        shared[own.prompt].let { it != null && it.merge(own) == it }
+
     /** Decides anew from the evidence that has not expired. */
     @Synchronized
     public fun refresh() {
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/CrashEvidenceStoreTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/CrashEvidenceStoreTest.kt
@@ -10,14 +10,21 @@
 import kotlinx.coroutines.test.runTest
 import kotlinx.serialization.json.JsonPrimitive
 import org.bramleytrestle.store.StoreError
+import org.bramleytrestle.store.StoreVersion
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class CrashEvidenceStoreTest {
     private val clock = FakeClock()
     private val store = MemoryStore()
+    private var lost = emptyList<CrashEvidence>()
     private var known = emptyList<CrashEvidence>()
     private val evidenceStore =
-        CrashEvidenceStore(store, { known = it.sortedBy(CrashEvidence::prompt) }, clock::now)
+        CrashEvidenceStore(
+            store,
+            { known = it.sortedBy(CrashEvidence::prompt) },
+            { lost = it.toList() },
+            clock::now
+        )
 
     private fun evidence(prompt: String, suspects: Set<String>, server: String) =
         CrashEvidence(prompt, suspects, setOf(server), true, clock.now().wallMillis)
@@ -32,7 +39,7 @@
         var others = 1
         store.beforeWrite = {
             if (others-- > 0) {
-                val other = CrashEvidenceStore(store, {}, clock::now)
+                val other = CrashEvidenceStore(store, {}, now = clock::now)
                 launch { other.merge(evidence("p", setOf("f", "d"), "s3")) }
                 testScheduler.runCurrent()
             }
@@ -86,4 +93,22 @@
         read()
         assertEquals(listOf("new"), known.map { it.prompt })
     }
+
+    /** Guards against a blocked prompt that reaches servers again because the store went back. */
+    @Test
+    fun `evidence that a restored store lacks is reported as lost`() = runTest {
+        for (prompt in listOf("kept", "gone", "grown")) {
+            evidenceStore.merge(evidence(prompt, setOf("d"), "s1"))
+        }
+        val older = store.objects.toMap()
+        evidenceStore.merge(evidence("grown", setOf("d"), "s2"))
+        read()
+        assertEquals(emptyList(), lost)
+        store.objects.clear()
+        store.objects += older - "gone"
+        val list = store.list(CrashEvidenceStore.KIND).getOrElse { error("$it") }
+        evidenceStore.replace(list.copy(version = StoreVersion.of(1, list.version)))
+        assertEquals(setOf("gone", "grown"), lost.mapTo(mutableSetOf()) { it.prompt })
+        assertEquals(setOf("s1", "s2"), lost.single { it.prompt == "grown" }.servers)
+    }
 }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PromptQuarantineTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PromptQuarantineTest.kt
@@ -258,4 +258,23 @@
     private companion object {
         const val NODES = 7
     }
+
+    /** Guards against nodes that forget a blocked part, or clear it, because the store went back. */
+    @Test
+    fun `evidence lost by the store counts on and is stored again`() {
+        val deadly = listOf("f1", "d")
+        repeat(3) {
+            send(nodes[it], Prompt(deadly, "p$it"), crashes = true)
+            advance(1.seconds)
+        }
+        val lost = stored.values.toList()
+        val (blocked, sound) = Prompt(deadly, "p9") to Prompt(listOf("f2"), "p10")
+        stored.clear()
+        nodes.forEach { it.keep(lost) }
+        nodes.forEach { it.update(stored.values) }
+        assertTrue(nodes.all { it.blocks(blocked) && !it.blocks(sound) })
+        advance(2.seconds)
+        val starting = startNode(Random(7)).also { it.update(stored.values) }
+        assertTrue(starting.blocks(blocked))
+    }
 }
