Keep servers that have left out of use when the store lists them again

A store that comes back from an older copy lists servers as they were some seconds ago: those that had announced their end counted as ready, those that were gone came back, and layers as they were then led to new orders. Servers that had registered since disappeared although they were alive.

A start of a server that is leaving stays so. An entry that was removed before the store went back is held back for the time in which it lapses, unless the server writes it again.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/FleetHolder.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/FleetHolder.kt
@@ -4,13 +4,16 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.nanoseconds
+import org.bramleytrestle.store.StoreVersion
 
 /**
  * Builds the [Fleet] from the servers' entries in the store.
  *
  * During a store outage entries expire although their servers are alive, and the servers register
  * again shortly afterwards. For a grace period after an outage, a removal therefore takes effect
- * only if the entry is still missing at the end of the period.
+ * only if the entry is still missing at the end of the period. The same holds after the store came
+ * back from an older copy, which may lack servers; those that it lists again although they are
+ * leaving or gone stay so.
  *
  * @param onChange called with each new fleet; calls do not overlap.
  */
@@ -26,18 +29,41 @@
     private val missing = HashMap<String, Moment>()
     private var graceUntil: Moment? = null
 
+    /** Entries of servers that were removed before the store went back. */
+    private val heldBack = HashMap<String, Entry>()
+    private val retired = RetiredServers(now)
+    private var era: Long? = null
+    private var uncertainUntil: Moment? = null
+
     /** Number of known entries. */
     public val size: Int @Synchronized get() = entries.size
 
     @Synchronized
     public fun find(name: String): BackendServer? = entries[name]?.server
 
-    /** Replaces all entries by [listed]; a null server stands for an entry that is unreadable. */
+    /** Whether the store went back and servers may not have written their entries again. */
+    public val isUncertain: Boolean
+        @Synchronized get() = uncertainUntil
+            ?.let { now().monotonicNanos < it.monotonicNanos } ?: false
+
+    /**
+     * Replaces all entries by [listed]; a null server stands for an entry that is unreadable.
+     *
+     * @param version store version of the list.
+     */
     @Synchronized
-    public fun replace(listed: Map<String, Pair<BackendServer?, Long>>) {
+    public fun replace(listed: Map<String, Pair<BackendServer?, Long>>, version: Long) {
+        val listedEra = StoreVersion.era(version)
+        if (listedEra > (era ?: listedEra)) {
+            retired.restored()
+            storeRecovered()
+            uncertainUntil = graceUntil
+        }
+        era = listedEra
+        heldBack.keys.retainAll(listed.keys)
         val gone = entries.keys - listed.keys
         for ((name, found) in listed) set(name, found.first, found.second)
-        gone.forEach(::drop)
+        gone.forEach { drop(it, version) }
         publish()
     }
 
@@ -48,7 +74,10 @@
             val known = entries[change.name]
             when {
                 known != null && known.revision > change.revision -> Unit
-                change.removed -> if (known != null) drop(change.name)
+                change.removed -> {
+                    heldBack -= change.name
+                    if (known != null) drop(change.name, change.revision)
+                }
                 known?.revision == change.revision -> Unit
                 else -> set(change.name, change.server, change.revision)
             }
@@ -72,9 +101,15 @@
             ?.let { (it.monotonicNanos - now().monotonicNanos).nanoseconds }
             ?.coerceAtLeast(Duration.ZERO) ?: Duration.ZERO
 
-    /** Removes missing entries whose grace period is over. */
+    /** Removes missing entries whose grace period is over; takes entries no longer held back. */
     @Synchronized
     public fun removeExpired() {
+        if (heldBack.isNotEmpty() && !retired.mayBeListed) {
+            log.info { "fleet: taking entries that have not lapsed: ${heldBack.keys}" }
+            entries += heldBack
+            heldBack.clear()
+            publish()
+        }
         if (missing.isEmpty()) return
         val at = now()
         val expired = missing.filterValues { at.monotonicNanos >= it.monotonicNanos }.keys.toList()
@@ -88,11 +123,33 @@
     }
 
     private fun set(name: String, server: BackendServer?, revision: Long) {
+        if (server != null && retired.includes(server, revision)) {
+            if (heldBack.put(name, Entry(server, revision)) == null) {
+                log.info { "fleet: $name was removed before the store went back, held back" }
+            }
+            return
+        }
+        heldBack -= name
         missing -= name
-        entries[name] = Entry(server, revision)
+        entries[name] = Entry(server?.let { corrected(it, revision) }, revision)
+    }
+
+    /** What the server is, if [server] shows what it was before. */
+    private fun corrected(server: BackendServer, revision: Long): BackendServer {
+        val known = entries[server.id] ?: return server
+        val earlier = known.server ?: return server
+        val restored = StoreVersion.era(revision) > StoreVersion.era(known.revision)
+        val isSameStart = server.bornMillis == earlier.bornMillis && server.bornMillis > 0
+        return when {
+            restored && server.bornMillis < earlier.bornMillis -> earlier
+            // A server that is leaving does not take that back.
+            isSameStart && earlier.leaving -> server.copy(leaving = true)
+            else -> server
+        }
     }
 
-    private fun drop(name: String) {
+    private fun drop(name: String, revision: Long) {
+        entries[name]?.server?.let { retired.removed(it, revision) }
         val until = graceUntil
         if (until != null && now().monotonicNanos < until.monotonicNanos) {
             missing[name] = until
