Withhold a request that crashes the servers which run it, whatever its parts

Only parts of prompts that nobody had an answer to were suspect: a request with known parts was never recorded, and its evidence was dropped once other requests with its parts were answered. Requests without parts were not observed at all.

Evidence is now kept for each request, known by a hash of the caller's key, path, prompt and body, which its repeats share. A request that ended two servers while its answers had begun, or three otherwise, and was never answered is refused as requestWithheld on all nodes, unless another request or a blamed part explains the crashes. An answer on any node clears it.

--- a/model/src/main/kotlin/org/bramleytrestle/model/ErrorKind.kt
+++ b/model/src/main/kotlin/org/bramleytrestle/model/ErrorKind.kt
@@ -39,6 +39,13 @@
         false,
         "A part of the prompt crashes backend servers"
     ),
+    REQUEST_WITHHELD(
+        "requestWithheld",
+        500,
+        Executed.NO,
+        false,
+        "The request crashes backend servers"
+    ),
     BACKEND_FAILED("backendFailed", 502, Executed.UNKNOWN, false, "The backend servers failed"),
     OUTCOME_UNKNOWN("outcomeUnknown", 502, Executed.UNKNOWN, false, "The outcome is unknown"),
     NO_ROUTE("noRoute", 503, Executed.NO, true, "No backend server can take the request"),
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
@@ -39,8 +39,8 @@
     /** Time until a server that holds back this node's requests accepts one; null if none does. */
     var heldBackFor: Duration? = null
 
-    /** Whether the request must not reach a server, because its prompt may crash it. */
-    private val withheld: Boolean get() = quarantine.blocks(task.request.prompt)
+    /** Why the request must not reach a server, because it may crash it; null if it may. */
+    private val withheldAs: ErrorKind? get() = quarantine.refusalOf(task.request.content)
 
     val remaining: Duration get() = (task.deadlineNanos - now().monotonicNanos).nanoseconds
 
@@ -61,7 +61,7 @@
         sends < task.route.maxServers * SENDS_PER_SERVER &&
         connectFailures <= (if (begun) MAX_RESUME_CONNECT_FAILURES else MAX_CONNECT_FAILURES) &&
         remaining > minRemaining &&
-        !withheld
+        withheldAs == null
 
     fun allows(server: BackendServer): Boolean = canUseNewServer || hasReached(server)
 
@@ -70,7 +70,7 @@
 
     /** Admits the next attempt: the first one always, a later one if the retry budget allows. */
     fun acquire(): Boolean {
-        if (withheld) return false
+        if (withheldAs != null) return false
         val reserved = retryReserved
         retryReserved = false
         return reserved || sends == 0 || budgets.tryRetry(task.service.name)
@@ -104,8 +104,7 @@
         get() {
             val late = active.cancelCause == CancelCause.DEADLINE || remaining <= minRemaining
             return when {
-                !mayHaveRun && withheld -> ErrorKind.PROMPT_WITHHELD
-                !mayHaveRun -> ErrorKind.OVERLOADED
+                !mayHaveRun -> withheldAs ?: ErrorKind.OVERLOADED
                 late -> ErrorKind.DEADLINE_EXCEEDED
                 else -> ErrorKind.BACKEND_FAILED
             }
@@ -120,9 +119,9 @@
 
     fun refuse(kind: ErrorKind): RequestOutcome {
         val stream = task.route.kind == RequestKind.STREAM
-        // The last reason is that of an attempt; a withheld prompt may have had none.
+        // The last reason is that of an attempt; a withheld request may have had none.
         val detail = when {
-            kind == ErrorKind.PROMPT_WITHHELD -> kind.title
+            kind in WITHHELD -> kind.title
             heldBackFor != null -> "$lastReason; servers take none of this node for $heldBackFor"
             else -> lastReason
         }
@@ -138,6 +137,8 @@
     }
 
     private companion object {
+        val WITHHELD = setOf(ErrorKind.PROMPT_WITHHELD, ErrorKind.REQUEST_WITHHELD)
+
         /** Allows one further send per permitted server, to servers that had the request before. */
         const val SENDS_PER_SERVER = 2
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/CallerRequest.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/CallerRequest.kt
@@ -28,4 +28,9 @@
     public val disconnected: () -> Boolean = { false }
 ) {
     public val path: String get() = target.substringBefore('?')
+
+    /** Identifies the request among others and its repeats. */
+    public val content: RequestContent by lazy(LazyThreadSafetyMode.PUBLICATION) {
+        RequestContent.of(this)
+    }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/CrashEvidenceStore.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/CrashEvidenceStore.kt
@@ -49,7 +49,7 @@
     }
 
     private fun isStored(evidence: CrashEvidence): Boolean {
-        val stored = items[evidence.prompt]?.first ?: return false
+        val stored = items[evidence.request]?.first ?: return false
         return stored.merge(evidence) == stored
     }
 
@@ -59,7 +59,7 @@
         var retryDelay = MIN_RETRY_DELAY
         while (now().wallMillis < until) {
             val error = tryMerge(evidence) ?: return
-            log.warn { "prompts: storing evidence of prompt=${evidence.prompt} failed: $error" }
+            log.warn { "prompts: storing evidence of request=${evidence.request} failed: $error" }
             delay(retryDelay)
             retryDelay = minOf(retryDelay * 2, MAX_RETRY_DELAY)
         }
@@ -72,28 +72,28 @@
         for ((name, item) in expired) {
             store.delete(KIND, name, item.second).mapBoth(
                 {},
-                { log.info { "prompts: evidence of prompt=$name not deleted: $it" } }
+                { log.info { "prompts: evidence of request=$name not deleted: $it" } }
             )
         }
     }
 
     /** Returns why [evidence] is not stored, or null if it is. */
     private suspend fun tryMerge(evidence: CrashEvidence): StoreError? {
-        val copy = synchronized(this) { items[evidence.prompt] }
+        val copy = synchronized(this) { items[evidence.request] }
         if (copy != null) {
             val (known, version) = copy
             val merged = known.merge(evidence)
             if (merged == known) return null
-            val updated = store.update(KIND, evidence.prompt, encode(merged), version)
+            val updated = store.update(KIND, evidence.request, encode(merged), version)
             if (updated.isOk) return null
         }
-        val error = store.create(KIND, evidence.prompt, encode(evidence)).mapBoth({ null }, { it })
+        val error = store.create(KIND, evidence.request, encode(evidence)).mapBoth({ null }, { it })
         if (error != StoreError.ALREADY_EXISTS) return error
-        val known = store.get(KIND, evidence.prompt).getOrElse { return it }
+        val known = store.get(KIND, evidence.request).getOrElse { return it }
         val merged = decode(known)?.merge(evidence) ?: evidence
         val value = encode(merged)
         if (value == known.value) return null
-        return store.update(KIND, evidence.prompt, value, known.version).mapBoth({ null }, { it })
+        return store.update(KIND, evidence.request, value, known.version).mapBoth({ null }, { it })
     }
 
     private fun put(item: StoredObject) {
@@ -102,11 +102,11 @@
     }
 
     private fun encode(evidence: CrashEvidence) =
-        Json.encodeToJsonElement(CrashEvidence.serializer(), evidence)
+        format.encodeToJsonElement(CrashEvidence.serializer(), evidence)
 
     private fun decode(item: StoredObject): CrashEvidence? = try {
-        Json.decodeFromJsonElement(CrashEvidence.serializer(), item.value)
-            .takeIf { it.prompt == item.name }
+        format.decodeFromJsonElement(CrashEvidence.serializer(), item.value)
+            .takeIf { it.request == item.name }
     } catch (e: SerializationException) {
         log.warn { "prompts: evidence ${item.name} cannot be read, ignored: ${e.message}" }
         null
@@ -114,8 +114,9 @@
 
     public companion object {
         private val log = KotlinLogging.logger {}
+        private val format = Json { ignoreUnknownKeys = true }
 
-        /** Kind of the store objects that hold the evidence, one for each prompt. */
+        /** Kind of the store objects that hold the evidence, one for each request. */
         public const val KIND: String = "prompt-crashes"
 
         private val MIN_RETRY_DELAY = 100.milliseconds
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
@@ -93,7 +93,7 @@
                     return null
                 }
                 load.succeeded()
-                quarantine.onAnswered(task.request.prompt)
+                quarantine.onAnswered(task.request.content)
                 task.reply.answer(answer)
                 return RequestOutcome.answered("status ${answer.status}")
             }
@@ -111,7 +111,7 @@
                     load.failed()
                 }
                 if (active.cancelCause == null) {
-                    quarantine.onBroken(task.request.prompt, server, begun = false)
+                    quarantine.onBroken(task.request.content, server, begun = false)
                 }
                 if (!task.route.idempotent) return attempts.refuse(ErrorKind.OUTCOME_UNKNOWN)
             }
@@ -133,19 +133,19 @@
             while (true) {
                 task.reply.event(events.next() ?: break)
                 if (++count == PromptQuarantine.BEGINNING_EVENTS) {
-                    quarantine.onAnswered(task.request.prompt)
+                    quarantine.onAnswered(task.request.content)
                 }
             }
         } catch (e: CallerReply.CallerDisconnectedException) {
             throw e
         } catch (e: IOException) {
             if (count < PromptQuarantine.BEGINNING_EVENTS && active.cancelCause == null) {
-                quarantine.onBroken(task.request.prompt, server, begun = true)
+                quarantine.onBroken(task.request.content, server, begun = true)
             }
             task.reply.abort()
             return RequestOutcome.failed(ErrorKind.BACKEND_FAILED, "stream interrupted: $e")
         }
-        quarantine.onAnswered(task.request.prompt)
+        quarantine.onAnswered(task.request.content)
         task.reply.endStream()
         return RequestOutcome.answered("stream")
     }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PromptQuarantine.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PromptQuarantine.kt
@@ -9,15 +9,16 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
+import org.bramleytrestle.model.ErrorKind
 
 /**
- * Keeps requests from backend servers if a part of their prompt crashes each server that answers
- * it.
+ * Keeps requests from backend servers if they, or a part of their prompt, crash each server that
+ * answers them.
  *
  * A request is suspect if its connection breaks before its answer has got past its beginning and
- * the server has ended. Its parts of which this node knows an answer are not suspect. Nodes share
- * the evidence, because the requests arrive at any of them, and blame parts by [SuspectParts]. A
- * prompt that ended two servers is not sent to a third one meanwhile.
+ * the server has ended. So are its parts of which this node knows no answer. Nodes share the
+ * evidence, because the requests arrive at any of them, and blame parts by [SuspectParts]. A request
+ * that ended several servers, whatever its parts, and was never answered is blamed itself.
  *
  * @param hasEnded whether the start of a server that is given no longer answers; may block.
  * @param share makes evidence known to all nodes, merged with what they know.
@@ -31,16 +32,18 @@
     private val now: () -> Moment = Moment::now,
     private val random: Random = Random.Default
 ) {
-    private data class Break(val prompt: Prompt, val begun: Boolean)
+    private data class Break(val content: RequestContent, val begun: Boolean)
 
     private data class Blocks(
         val groups: Set<Set<String>> = emptySet(),
-        val prompts: Set<String> = emptySet(),
-        val suspects: Set<String> = emptySet()
+        val requests: Set<String> = emptySet(),
+        val suspects: Set<String> = emptySet(),
+        val suspectRequests: Set<String> = emptySet()
     )
 
     private val blocks = AtomicReference(Blocks())
     private val answered = AnsweredParts()
+    private val answeredRequests = AnsweredParts()
     private val clearing = AtomicBoolean()
 
     /** Broken requests of servers whose end is being checked. */
@@ -56,33 +59,40 @@
     /** Groups of parts; requests with all parts of one of them are kept from servers. */
     public val blockedGroups: Set<Set<String>> get() = blocks.get().groups
 
-    /** Whether a request with [prompt] must not reach a server. */
-    public fun blocks(prompt: Prompt?): Boolean {
-        if (prompt == null) return false
+    /** Whether a request with [content] must not reach a server. */
+    public fun blocks(content: RequestContent): Boolean = refusalOf(content) != null
+
+    /** Why a request with [content] must not reach a server; null if it may. */
+    public fun refusalOf(content: RequestContent): ErrorKind? {
         val current = blocks.get()
-        val blocked = prompt.own in current.prompts ||
-            current.groups.any { prompt.shared.containsAll(it) }
-        if (blocked) renew(prompt)
-        return blocked
+        val kind = when {
+            current.groups.any { content.parts.containsAll(it) } -> ErrorKind.PROMPT_WITHHELD
+            content.id in current.requests -> ErrorKind.REQUEST_WITHHELD
+            else -> return null
+        }
+        renew(content)
+        return kind
     }
 
-    /** Records that an answer to [prompt] got past its beginning. */
-    public fun onAnswered(prompt: Prompt?) {
-        if (prompt == null) return
-        prompt.shared.forEach(answered::add)
-        val suspects = blocks.get().suspects
-        if (suspects.isNotEmpty() && prompt.shared.any { it in suspects }) scheduleClearing()
+    /** Records that an answer to [content] got past its beginning. */
+    public fun onAnswered(content: RequestContent) {
+        answeredRequests.add(content.id)
+        content.parts.forEach(answered::add)
+        val current = blocks.get()
+        val clears = content.id in current.suspectRequests ||
+            current.suspects.isNotEmpty() && content.parts.any { it in current.suspects }
+        if (clears) scheduleClearing()
     }
 
     /**
-     * Records that the connection to [server] broke before the answer to [prompt] got past its
+     * Records that the connection to [server] broke before the answer to [content] got past its
      * beginning.
      *
      * @param begun whether the head of the answer had arrived.
      */
-    public fun onBroken(prompt: Prompt?, server: BackendServer, begun: Boolean) {
-        if (prompt == null || prompt.shared.all { it in answered }) return
-        val earlier = unchecked.merge(server, listOf(Break(prompt, begun))) { a, b -> a + b }!!
+    public fun onBroken(content: RequestContent, server: BackendServer, begun: Boolean) {
+        if (content.id in answeredRequests) return
+        val earlier = unchecked.merge(server, listOf(Break(content, begun))) { a, b -> a + b }!!
         if (earlier.size > 1) return
         schedule(CHECK_DELAY) {
             val ended = hasEnded(server)
@@ -94,22 +104,25 @@
     /** Replaces what all nodes have shared. */
     @Synchronized
     public fun update(evidence: Collection<CrashEvidence>) {
-        shared = evidence.associateBy { it.prompt }
+        shared = evidence.associateBy { it.request }
         isLoaded = true
         observed.values.removeIf(::isShared)
         refresh()
-        if (blocks.get().suspects.any { it in answered }) scheduleClearing()
+        val current = blocks.get()
+        val clears = current.suspects.any { it in answered } ||
+            current.suspectRequests.any { it in answeredRequests }
+        if (clears) scheduleClearing()
     }
 
     /** Goes on with [evidence] that the store has lost, until it is stored again. */
     @Synchronized
     public fun keep(evidence: Collection<CrashEvidence>) {
         if (evidence.isEmpty()) return
-        log.warn { "prompts: evidence lost by the store=${evidence.map { it.prompt }}" }
-        for (lost in evidence) observed.merge(lost.prompt, lost, CrashEvidence::merge)
+        log.warn { "prompts: evidence lost by the store=${evidence.map { it.request }}" }
+        for (lost in evidence) observed.merge(lost.request, lost, CrashEvidence::merge)
         // Most nodes find that another one has stored it.
         schedule(MAX_CLEAR_DELAY * random.nextDouble()) {
-            if (mayClear()) unshared(evidence.map { it.prompt }).forEach(share)
+            if (mayClear()) unshared(evidence.map { it.request }).forEach(share)
         }
     }
 
@@ -118,40 +131,50 @@
         prompts.mapNotNull { observed[it] }.filterNot(::isShared)
 
     private fun isShared(own: CrashEvidence): Boolean =
-        shared[own.prompt].let { it != null && it.merge(own) == it }
+        shared[own.request].let { it != null && it.merge(own) == it }
 
     /** Decides anew from the evidence that has not expired. */
     @Synchronized
     public fun refresh() {
         val oldest = now().wallMillis - LIFETIME.inWholeMilliseconds
         observed.values.removeIf { it.seenMillis < oldest }
-        val current = known().filter { it.seenMillis >= oldest && it.suspects.isNotEmpty() }
-        val found = SuspectParts.find(current)
+        val current = known().filter { it.seenMillis >= oldest }
+        val found = SuspectParts.find(current.filter { it.suspects.isNotEmpty() })
+        val explained = found.explainedServers
+        val unanswered = current.filterNot { it.answered }
+        val requests = SuspectRequests.find(
+            unanswered.map { it.copy(servers = it.servers - explained) }
+        )
         val next = Blocks(
             found.groups,
-            found.unexplained.filter { it.servers.size >= MAX_SERVERS_PER_PROMPT }
-                .mapTo(mutableSetOf()) { it.prompt },
-            current.flatMapTo(mutableSetOf()) { it.suspects }
+            requests,
+            current.flatMapTo(mutableSetOf()) { it.suspects },
+            unanswered.mapTo(mutableSetOf()) { it.request }
         )
         val before = blocks.getAndSet(next)
         if (next.groups != before.groups) {
             log.warn { "prompts: blocked=${next.groups}, before ${before.groups}" }
         }
+        if (next.requests != before.requests) {
+            log.warn { "prompts: blocked requests=${next.requests}, before ${before.requests}" }
+        }
     }
 
     @Synchronized
     private fun record(broken: Break, server: BackendServer) {
-        val (prompt, begun) = broken
-        val suspects = prompt.shared.filterTo(mutableSetOf()) { it !in answered }
-        if (suspects.isEmpty()) return
+        val (content, begun) = broken
+        if (content.id in answeredRequests) return
+        val suspects = content.parts.filterTo(mutableSetOf()) { it !in answered }
         val start = "${server.id}@${server.bornMillis}"
         val found =
-            CrashEvidence(prompt.own, suspects, setOf(start), begun, now().wallMillis)
-        val merged = observed[prompt.own]?.merge(found) ?: found
-        log.warn { "prompts: server=${server.id} ended on prompt=${prompt.own} $merged" }
-        observed[prompt.own] = merged
+            CrashEvidence(content.id, suspects, setOf(start), begun, now().wallMillis)
+        val merged = observed[content.id]?.merge(found) ?: found
+        log.warn { "prompts: server=${server.id} ended on request=${content.id} $merged" }
+        observed[content.id] = merged
         refresh()
-        share(merged)
+        // Most requests that may have been waiting were; their crashes would all be written.
+        val mayHaveWaited = content.parts.isNotEmpty() && suspects.isEmpty() && !merged.begun
+        if (!mayHaveWaited || merged.servers.size > 1) share(merged)
     }
 
     /** Many nodes have an answer at the same time; most find the part cleared after a delay. */
@@ -163,35 +186,46 @@
         }
     }
 
-    /** Clears the suspect parts of which this node knows an answer. */
+    /** Clears the suspect requests and parts of which this node knows an answer. */
     @Synchronized
     private fun clearAnswered() {
         for (evidence in known()) {
-            val suspects = evidence.suspects.filterNotTo(mutableSetOf()) { it in answered }
-            if (suspects == evidence.suspects) continue
-            log.info { "prompts: prompt=${evidence.prompt} suspects=$suspects, others answered" }
-            val cleared = evidence.copy(suspects = suspects)
-            observed[evidence.prompt] = cleared
+            val cleared = evidence.copy(
+                suspects = evidence.suspects.filterNotTo(mutableSetOf()) { it in answered },
+                answered = evidence.answered || evidence.request in answeredRequests
+            )
+            if (cleared == evidence) continue
+            log.info {
+                "prompts: request=${evidence.request} answered=${cleared.answered} " +
+                    "suspects=${cleared.suspects}, others answered"
+            }
+            observed[evidence.request] = cleared
             share(cleared)
         }
         refresh()
     }
 
-    /** Extends the evidence against [prompt] while requests with it still come. */
-    private fun renew(prompt: Prompt) {
+    /**
+     * Extends the evidence against [content] while requests with it still come, unless it rests on
+     * so few crashes that they may have had another cause.
+     */
+    private fun renew(content: RequestContent) {
         val at = now().wallMillis
         val due = synchronized(this) {
             known().filter { evidence ->
-                at - evidence.seenMillis >= RENEWAL_AGE.inWholeMilliseconds &&
-                    (evidence.prompt == prompt.own || prompt.shared.any { it in evidence.suspects })
-            }.map { it.copy(seenMillis = at) }.onEach { observed[it.prompt] = it }
+                val concerns = evidence.request == content.id && isCertain(evidence) ||
+                    content.parts.any { it in evidence.suspects }
+                at - evidence.seenMillis >= RENEWAL_AGE.inWholeMilliseconds && concerns
+            }.map { it.copy(seenMillis = at) }.onEach { observed[it.request] = it }
         }
         due.forEach(share)
     }
 
-    private fun known(): List<CrashEvidence> = (shared.keys + observed.keys).map { prompt ->
-        val own = observed[prompt]
-        val others = shared[prompt]
+    private fun isCertain(evidence: CrashEvidence) = evidence.servers.size >= CERTAIN_SERVERS
+
+    private fun known(): List<CrashEvidence> = (shared.keys + observed.keys).map { request ->
+        val own = observed[request]
+        val others = shared[request]
         if (own != null && others != null) own.merge(others) else checkNotNull(own ?: others)
     }
 
@@ -208,6 +242,8 @@
         /** Requests that break together are checked together. */
         private val CHECK_DELAY = 20.milliseconds
         private val MAX_CLEAR_DELAY = 1.seconds
-        private const val MAX_SERVERS_PER_PROMPT = 2
+
+        /** Servers that a request has ended after which no other cause is likely. */
+        private const val CERTAIN_SERVERS = 3
     }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -168,7 +168,7 @@
             is ServerReply.NotRun -> recordNotRun(task, answer, chain)
             is ServerReply.Failed -> {
                 if (active.cancelCause == null) {
-                    quarantine.onBroken(task.request.prompt, chain.first, begun = false)
+                    quarantine.onBroken(task.request.content, chain.first, begun = false)
                 }
                 if (!recordInterruption(task, chain, progress, active, answer.reason)) {
                     return finish(task, progress)
@@ -220,7 +220,7 @@
                 task.reply.event(event)
                 progress.lastEvent = event.number ?: progress.lastEvent
                 if (++count == PromptQuarantine.BEGINNING_EVENTS) {
-                    quarantine.onAnswered(task.request.prompt)
+                    quarantine.onAnswered(task.request.content)
                 }
             }
         } catch (e: CallerReply.CallerDisconnectedException) {
@@ -232,14 +232,14 @@
                 nextEventTimeout.record(now().since(waitStart))
             }
             if (count < PromptQuarantine.BEGINNING_EVENTS && active.cancelCause == null) {
-                quarantine.onBroken(task.request.prompt, chain.first, begun = true)
+                quarantine.onBroken(task.request.content, chain.first, begun = true)
             }
             val reason = "$e after $count events, longest pause $longest"
             val resumes = recordInterruption(task, chain, progress, active, reason)
             return if (resumes) null else finish(task, progress)
         }
         selector.load(chain.first).succeeded()
-        quarantine.onAnswered(task.request.prompt)
+        quarantine.onAnswered(task.request.content)
         task.trace.result("complete, $count events, longest pause $longest")
         task.reply.endStream()
         return RequestOutcome.answered("stream")
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/SuspectParts.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/SuspectParts.kt
@@ -4,27 +4,29 @@
  * Finds the parts of prompts that explain crashes of backend servers.
  *
  * A part is blamed once different prompts with it have ended different servers. The end of a server
- * that a blamed part explains says nothing about other parts or prompts.
+ * that a blamed part explains says nothing about other parts or requests.
  *
  * @property groups the blamed parts. Those that all occur in the same prompts cannot be told apart
  * and are blamed together: a prompt with some of them alone says which of them is sound.
- * @property unexplained the evidence that no blamed part explains.
+ * @property explainedServers starts of servers whose end a blamed part explains.
  */
 internal class SuspectParts private constructor(
     val groups: Set<Set<String>>,
-    val unexplained: List<CrashEvidence>
+    val explainedServers: Set<String>
 ) {
     companion object {
         fun find(evidence: Collection<CrashEvidence>): SuspectParts {
             val groups = mutableSetOf<Set<String>>()
+            val explainedServers = mutableSetOf<String>()
             var unexplained = evidence.toList()
             while (true) {
                 val crashes = unexplained.flatMap { it.suspects }.distinct()
                     .map { part -> unexplained.filter { part in it.suspects } }
                     .filter(::suffices)
-                    .maxByOrNull(::weight) ?: return SuspectParts(groups, unexplained)
+                    .maxByOrNull(::weight) ?: return SuspectParts(groups, explainedServers)
                 groups += crashes.map { it.suspects }.reduce { a, b -> a intersect b }
                 val explained = crashes.flatMapTo(mutableSetOf()) { it.servers }
+                explainedServers += explained
                 unexplained = (unexplained - crashes.toSet())
                     .map { it.copy(servers = it.servers - explained) }
                     .filter { it.servers.isNotEmpty() }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/CrashEvidenceStoreTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/CrashEvidenceStoreTest.kt
@@ -21,7 +21,7 @@
     private val evidenceStore =
         CrashEvidenceStore(
             store,
-            { known = it.sortedBy(CrashEvidence::prompt) },
+            { known = it.sortedBy(CrashEvidence::request) },
             { lost = it.toList() },
             clock::now
         )
@@ -76,7 +76,7 @@
         store.failure = null
         writing.join()
         read()
-        assertEquals(listOf("p"), known.map { it.prompt })
+        assertEquals(listOf("p"), known.map { it.request })
     }
 
     /** Guards against an object of another writer that hides the evidence of the nodes. */
@@ -88,10 +88,10 @@
         clock.advance(1.seconds)
         evidenceStore.merge(evidence("new", setOf("d"), "s2"))
         read()
-        assertEquals(listOf("new", "old"), known.map { it.prompt })
+        assertEquals(listOf("new", "old"), known.map { it.request })
         evidenceStore.deleteExpired()
         read()
-        assertEquals(listOf("new"), known.map { it.prompt })
+        assertEquals(listOf("new"), known.map { it.request })
     }
 
     /** Guards against a blocked prompt that reaches servers again because the store went back. */
@@ -108,7 +108,7 @@
         store.objects += older - "gone"
         val list = store.list(CrashEvidenceStore.KIND).getOrElse { error("$it") }
         evidenceStore.replace(list.copy(version = StoreVersion.of(1, list.version)))
-        assertEquals(setOf("gone", "grown"), lost.mapTo(mutableSetOf()) { it.prompt })
-        assertEquals(setOf("s1", "s2"), lost.single { it.prompt == "grown" }.servers)
+        assertEquals(setOf("gone", "grown"), lost.mapTo(mutableSetOf()) { it.request })
+        assertEquals(setOf("s1", "s2"), lost.single { it.request == "grown" }.servers)
     }
 }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PromptQuarantineTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PromptQuarantineTest.kt
@@ -7,6 +7,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import org.bramleytrestle.model.ErrorKind
 
 class PromptQuarantineTest {
     private val clock = FakeClock()
@@ -32,7 +33,7 @@
         schedule = { delay, task -> scheduled += elapsed + delay to task },
         share = { evidence ->
             shares++
-            stored.merge(evidence.prompt, evidence, CrashEvidence::merge)
+            stored.merge(evidence.request, evidence, CrashEvidence::merge)
             scheduled += elapsed + exchangeTime to { nodes.forEach { it.update(stored.values) } }
         },
         now = clock::now,
@@ -50,7 +51,12 @@
     }
 
     /** Sends a request as a node does; returns the number of servers that it reached. */
-    private fun send(node: PromptQuarantine, prompt: Prompt, crashes: Boolean): Int {
+    private fun send(
+        node: PromptQuarantine,
+        prompt: RequestContent,
+        crashes: Boolean,
+        begun: Boolean = true
+    ): Int {
         repeat(2) { attempt ->
             if (node.blocks(prompt)) return attempt
             val index = (starts + attempt) % servers.size
@@ -60,7 +66,7 @@
             }
             this.crashes += elapsed
             ended += servers[index]
-            node.onBroken(prompt, servers[index], begun = true)
+            node.onBroken(prompt, servers[index], begun)
             servers[index] = startServer()
             advance(50.milliseconds)
         }
@@ -94,12 +100,13 @@
                     nodes.forEach { it.update(stored.values) }
                 }
                 repeat(5) { i ->
-                    val prompt = Prompt(listOf("f${random.nextInt(case.firstParts)}"), "$round-$i")
+                    val prompt =
+                        RequestContent(listOf("f${random.nextInt(case.firstParts)}"), "$round-$i")
                     if (send(nodes.random(random), prompt, crashes = false) == 0) refused++
                 }
                 if (round > 20 && round % 5 == 0) {
                     val first = "f${random.nextInt(case.firstParts)}"
-                    val prompt = Prompt(listOf(first, "deadly$seed"), "deadly-$seed-$round")
+                    val prompt = RequestContent(listOf(first, "deadly$seed"), "deadly-$seed-$round")
                     // The caller tries again once.
                     repeat(2) {
                         val bound = crashes.getOrNull(4)?.plus(3.seconds)
@@ -120,12 +127,12 @@
         val answered: Boolean = false,
         val begun: Boolean = true,
         val sameServer: Boolean = false,
-        val prompts: List<Prompt>,
+        val prompts: List<RequestContent>,
         val blocked: Set<Set<String>>
     )
 
     private fun prompts(vararg shared: String) =
-        shared.mapIndexed { i, parts -> Prompt(parts.split(' '), "own$i") }
+        shared.mapIndexed { i, parts -> RequestContent(parts.split(' '), "own$i") }
 
     /** Guards against sound parts that are withheld because of ordinary failures. */
     @Test
@@ -196,7 +203,7 @@
     @Test
     fun `a crash that a blamed part explains counts against no other prompt`() {
         val node = startNode(Random(1))
-        val sound = Prompt(listOf("s"), "sound")
+        val sound = RequestContent(listOf("s"), "sound")
         val deadly = prompts("d", "d")
         for ((i, prompt) in deadly.withIndex()) {
             val server = modelServer("s$i", "a", "large")
@@ -207,7 +214,8 @@
         advance(1.seconds)
         assertEquals(setOf(setOf("d")), node.blockedGroups)
         assertTrue(!node.blocks(sound))
-        val others = listOf(Prompt(listOf("s", "x"), "o1"), Prompt(listOf("s", "y"), "o2"))
+        val others =
+            listOf(RequestContent(listOf("s", "x"), "o1"), RequestContent(listOf("s", "y"), "o2"))
         for ((i, prompt) in others.withIndex()) {
             val server = modelServer("t$i", "a", "large")
             ended += server
@@ -243,13 +251,13 @@
     @Test
     fun `a part that all nodes have answers of is cleared by few of them`() {
         exchangeTime = 20.milliseconds
-        for (node in nodes.drop(1)) node.onAnswered(Prompt(listOf("f"), "p"))
+        for (node in nodes.drop(1)) node.onAnswered(RequestContent(listOf("f"), "p"))
         val server = startServer().also { ended += it }
-        nodes[0].onBroken(Prompt(listOf("f", "d"), "deadly"), server, begun = true)
+        nodes[0].onBroken(RequestContent(listOf("f", "d"), "deadly"), server, begun = true)
         advance(2.seconds)
         assertEquals(setOf("d"), stored.getValue("deadly").suspects)
         assertTrue(shares <= 3, "$shares writes")
-        for (node in nodes) node.onAnswered(Prompt(listOf("d"), "q"))
+        for (node in nodes) node.onAnswered(RequestContent(listOf("d"), "q"))
         advance(2.seconds)
         assertEquals(emptySet(), stored.getValue("deadly").suspects)
         assertTrue(shares <= 6, "$shares writes")
@@ -259,16 +267,123 @@
         const val NODES = 7
     }
 
+    private data class RepeatedCase(
+        val name: String,
+        val parts: List<String>,
+        val partsKnown: Boolean = true,
+        val begun: Boolean = true,
+        val restartNodes: Boolean = false
+    )
+
+    /** Guards against one request that crashes server after server, sent again to any node. */
+    @Test
+    fun `a request that crashes servers is withheld by all nodes, and its parts stay in use`() {
+        val cases = listOf(
+            RepeatedCase("its parts are known as sound", listOf("f")),
+            RepeatedCase("nobody has used its parts", listOf("new"), partsKnown = false),
+            RepeatedCase("it has no parts", emptyList()),
+            RepeatedCase("it ends servers before their answers", emptyList(), begun = false),
+            RepeatedCase("all nodes restart", listOf("f"), restartNodes = true)
+        )
+        for ((seed, case) in cases.withIndex()) {
+            val random = Random(seed)
+            stored.clear()
+            crashes.clear()
+            nodes.indices.forEach { nodes[it] = startNode(Random(it)) }
+            val deadly = RequestContent(case.parts, "deadly")
+            var late = 0
+            var refused = 0
+            repeat(100) { round ->
+                if (case.restartNodes && round == 60) {
+                    nodes.indices.forEach { nodes[it] = startNode(Random(it)) }
+                    nodes.forEach { it.update(stored.values) }
+                }
+                repeat(3) {
+                    val parts = if (case.partsKnown) case.parts else listOf("f")
+                    val sound = RequestContent(parts, "$round-$it")
+                    if (send(nodes.random(random), sound, crashes = false) == 0) refused++
+                }
+                if (round > 5 && round % 2 == 0) {
+                    val bound = crashes.getOrNull(2)?.plus(3.seconds)
+                    val reached = send(nodes.random(random), deadly, crashes = true, case.begun)
+                    if (bound != null && elapsed > bound) late += reached
+                }
+                advance(200.milliseconds)
+            }
+            assertTrue(late <= 3, "${case.name}: $late sends after the third crash and 3 s")
+            assertTrue(crashes.size <= 6, "${case.name}: ${crashes.size} crashes")
+            assertEquals(0, refused, "${case.name}: sound requests refused")
+            assertEquals(ErrorKind.REQUEST_WITHHELD, nodes[0].refusalOf(deadly), case.name)
+        }
+    }
+
+    private data class SoundCase(
+        val name: String,
+        val servers: List<String>,
+        val begun: Boolean = true,
+        val answeredBefore: Boolean = false,
+        val answeredLater: Boolean = false,
+        val withheld: Boolean
+    )
+
+    /** Guards against sound requests that are withheld because they met crashes. */
+    @Test
+    fun `a request is blamed only for crashes that nothing else explains`() {
+        val cases = listOf(
+            SoundCase("met one crash", listOf("s1"), withheld = false),
+            SoundCase("went along with the deadly one", listOf("s1", "s2"), withheld = false),
+            SoundCase("waited twice", listOf("t1", "t2"), begun = false, withheld = false),
+            SoundCase("ended two servers", listOf("t1", "t2"), withheld = true),
+            SoundCase(
+                "ended three servers",
+                listOf("t1", "t2", "t3"),
+                begun = false,
+                withheld = true
+            ),
+            SoundCase(
+                "was answered before",
+                listOf("t1", "t2", "t3"),
+                answeredBefore = true,
+                withheld = false
+            ),
+            SoundCase(
+                "was answered later by another node",
+                listOf("t1", "t2", "t3"),
+                answeredLater = true,
+                withheld = false
+            )
+        )
+        for (case in cases) {
+            stored.clear()
+            nodes.indices.forEach { nodes[it] = startNode(Random(it)) }
+            val deadly = RequestContent(listOf("f"), "deadly")
+            val sound = RequestContent(listOf("f"), "sound")
+            nodes[0].onAnswered(RequestContent(listOf("f"), "other"))
+            if (case.answeredBefore) nodes[0].onAnswered(sound)
+            for (id in listOf("s1", "s2", "s3", "t1", "t2", "t3")) {
+                val server = modelServer(id, "a", "large").also { ended += it }
+                if (id.startsWith("s")) nodes[0].onBroken(deadly, server, begun = true)
+                if (id in case.servers) nodes[0].onBroken(sound, server, case.begun)
+            }
+            advance(2.seconds)
+            if (case.answeredLater) nodes[1].onAnswered(sound)
+            advance(3.seconds)
+            assertEquals(case.withheld, nodes[0].blocks(sound), case.name)
+            assertTrue(nodes[0].blocks(deadly), case.name)
+            ended.clear()
+        }
+    }
+
     /** Guards against nodes that forget a blocked part, or clear it, because the store went back. */
     @Test
     fun `evidence lost by the store counts on and is stored again`() {
         val deadly = listOf("f1", "d")
         repeat(3) {
-            send(nodes[it], Prompt(deadly, "p$it"), crashes = true)
+            send(nodes[it], RequestContent(deadly, "p$it"), crashes = true)
             advance(1.seconds)
         }
         val lost = stored.values.toList()
-        val (blocked, sound) = Prompt(deadly, "p9") to Prompt(listOf("f2"), "p10")
+        val (blocked, sound) = RequestContent(deadly, "p9") to RequestContent(listOf("f2"), "p10")
         stored.clear()
         nodes.forEach { it.keep(lost) }
         nodes.forEach { it.update(stored.values) }
