Refuse what a stopping node may not be able to answer

In the last seconds of a planned stop a node took requests whose deadline lay after its own end, passed them on and cut them when it exited, also those that may not be repeated: at 6.4 s of 8 s a request of 1.5 s was accepted while the process may end at 7.2 s, and at 3 s a plain one of 20 s (RequestHandlerTest; failed before).

Two seconds after the stop, a request is accepted only if its deadline leaves time for an answer before the exit; others are refused as not run. The fixed times for streams and for all requests go. NodeLifecycleTest asks the same at the same moments, for a long and a short request, and at each tenth of a second for six deadlines.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/NodeLifecycle.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/NodeLifecycle.kt
@@ -39,11 +39,14 @@
 
     public val leaving: Boolean get() = leavingSince.get() != null
 
-    /** Whether new streams, which last for seconds, are refused. */
-    public val refusesStreams: Boolean get() = leavingFor() > STREAM_ACCEPT_TIME
-
-    /** Whether all new requests are refused. */
-    public val refusesAll: Boolean get() = leavingFor() > grace - REFUSE_ALL_MARGIN
+    /**
+     * Whether a request that may last for [longest] is refused, because the process may end before
+     * its answer.
+     */
+    public fun refuses(longest: Duration): Boolean {
+        val elapsed = leavingFor()
+        return elapsed > ACCEPT_ALL_TIME && elapsed + longest > grace - EXIT_MARGIN - ANSWER_TIME
+    }
 
     public fun leave() {
         leavingSince.compareAndSet(null, now())
@@ -64,11 +67,11 @@
         leavingSince.get()?.let { now().since(it) } ?: Duration.ZERO
 
     private companion object {
-        /** A stream that begins later may not end within the grace time. */
-        val STREAM_ACCEPT_TIME = 2.seconds
+        /** Time for which callers use an entry list; streams that begin so early usually end. */
+        val ACCEPT_ALL_TIME = 2.seconds
 
-        /** Longest usual duration of a plain request plus [EXIT_MARGIN]. */
-        val REFUSE_ALL_MARGIN = 1_500.milliseconds
+        /** Time to answer a request whose deadline has passed. */
+        val ANSWER_TIME = 200.milliseconds
 
         /** Three times the lifetime of an entry list, because some callers cache it that long. */
         val ENTRY_LIST_RETENTION = 6.seconds
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestHandler.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestHandler.kt
@@ -53,12 +53,11 @@
         val keyRequired = route != null && config.keysRequired && !route.publicAccess
         val unknown = route == null || keyRequired && organisation == null
         val refusal = when {
-            lifecycle.refusesAll -> Refusal(ErrorKind.LEAVING, "the node is shutting down")
             stale && keyRequired || outdated && unknown ->
                 Refusal(ErrorKind.PLATFORM_UNAVAILABLE, "settings unconfirmed for $age")
             route == null -> Refusal(ErrorKind.NOT_FOUND, "no route for the path")
             unknown -> Refusal(ErrorKind.UNAUTHENTICATED, "unknown key")
-            lifecycle.refusesStreams && route.kind == RequestKind.STREAM ->
+            lifecycle.refuses(timeout(route, request) - now().since(request.receivedAt)) ->
                 Refusal(ErrorKind.LEAVING, "the node is shutting down")
             request.prompt != null && !quarantine.isLoaded ->
                 Refusal(ErrorKind.PLATFORM_UNAVAILABLE, "crash evidence not loaded yet")
@@ -71,7 +70,7 @@
         }
         val service = pickService(route, request.id)?.let(config.services::get)
             ?: return refuse(request, reply, Refusal(ErrorKind.NO_ROUTE, "service not configured"))
-        val timeout = minOf(route.timeout, request.timeout ?: route.timeout)
+        val timeout = timeout(route, request)
         val task = RequestTask(request, reply, route, service, organisation, timeout, trace)
         return if (service.model != null && service.model.layers > 0) {
             streams.run(task)
@@ -80,6 +79,10 @@
         }
     }
 
+    /** Time from the arrival of the request to its end. */
+    private fun timeout(route: Route, request: CallerRequest) =
+        minOf(route.timeout, request.timeout ?: route.timeout)
+
     /** Picks a service by weight; stable for a request id. Null if the route names no service. */
     private fun pickService(route: Route, id: String): String? {
         val total = route.shares.sumOf { it.weight }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/NodeLifecycleTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/NodeLifecycleTest.kt
@@ -9,8 +9,8 @@
 class NodeLifecycleTest {
     private data class Case(
         val after: Duration,
-        val refusesStreams: Boolean,
-        val refusesAll: Boolean,
+        val refusesLong: Boolean,
+        val refusesShort: Boolean,
         val exitsIdle: Boolean,
         val exitsBusy: Boolean
     )
@@ -18,41 +18,11 @@
     @Test
     fun `a leaving node serves old entry lists, then refuses, and exits before it is killed`() {
         val cases = listOf(
-            Case(
-                0.seconds,
-                refusesStreams = false,
-                refusesAll = false,
-                exitsIdle = false,
-                exitsBusy = false
-            ),
-            Case(
-                3.seconds,
-                refusesStreams = true,
-                refusesAll = false,
-                exitsIdle = false,
-                exitsBusy = false
-            ),
-            Case(
-                6.4.seconds,
-                refusesStreams = true,
-                refusesAll = false,
-                exitsIdle = true,
-                exitsBusy = false
-            ),
-            Case(
-                7.1.seconds,
-                refusesStreams = true,
-                refusesAll = true,
-                exitsIdle = true,
-                exitsBusy = false
-            ),
-            Case(
-                7.3.seconds,
-                refusesStreams = true,
-                refusesAll = true,
-                exitsIdle = true,
-                exitsBusy = true
-            )
+            Case(0.seconds, false, false, false, false),
+            Case(3.seconds, refusesLong = true, false, false, false),
+            Case(6.4.seconds, refusesLong = true, false, exitsIdle = true, false),
+            Case(7.1.seconds, refusesLong = true, refusesShort = true, exitsIdle = true, false),
+            Case(7.3.seconds, true, true, exitsIdle = true, exitsBusy = true)
         )
         for (case in cases) {
             val clock = FakeClock()
@@ -61,8 +31,8 @@
             clock.advance(case.after)
             val got = Case(
                 case.after,
-                lifecycle.refusesStreams,
-                lifecycle.refusesAll,
+                lifecycle.refuses(20.seconds),
+                lifecycle.refuses(600.milliseconds),
                 lifecycle.mayExit(),
                 lifecycle.run {
                     requestStarted()
@@ -73,6 +43,26 @@
         }
     }
 
+    /** Guards against requests that are passed on late in the grace time and cut at its end. */
+    @Test
+    fun `each request accepted later than two seconds after the stop may end before the exit`() {
+        for (longest in listOf(0.1, 0.6, 1.5, 3.0, 5.0, 20.0).map { it.seconds }) {
+            val clock = FakeClock()
+            val lifecycle = NodeLifecycle(8.seconds, clock::now)
+            lifecycle.leave()
+            repeat(80) {
+                clock.advance(100.milliseconds)
+                val accepted = clock.now()
+                if (it < 20 || lifecycle.refuses(longest)) return@repeat
+                clock.moment = accepted + longest
+                lifecycle.requestStarted()
+                assertEquals(false, lifecycle.mayExit(), "$longest, accepted in tick $it")
+                lifecycle.requestEnded()
+                clock.moment = accepted
+            }
+        }
+    }
+
     @Test
     fun `a node that leaves under load exits only when no request has come for a while`() {
         val clock = FakeClock()
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/RequestHandlerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/RequestHandlerTest.kt
@@ -19,18 +19,26 @@
         quarantine: PromptQuarantine = emptyQuarantine(),
         organisations: List<Organisation> = emptyList(),
         path: String = "/p/1",
-        age: Duration = Duration.ZERO
+        age: Duration = Duration.ZERO,
+        leavingFor: Duration? = null,
+        timeout: Duration = 20.seconds
     ): List<String> {
-        val route = route(RequestKind.AT_MOST_ONCE).copy(shares = shares)
+        val route = route(RequestKind.AT_MOST_ONCE).copy(shares = shares, timeout = timeout)
         val service = BackendService("desk", null)
         val configs = ConfigHolder(clock::now)
         configs.offer(RoutingConfig(1, 1, listOf(route), listOf(service), organisations))
         configs.confirm(clock.now())
         clock.advance(age)
+        val lifecycle = NodeLifecycle(ServingBounds().processGrace, clock::now)
+        if (leavingFor != null) {
+            lifecycle.leave()
+            clock.advance(leavingFor)
+            configs.confirm(clock.now())
+        }
         val handler = RequestHandler(
             configs,
             ServingBounds(configPropagation = 2.seconds),
-            NodeLifecycle(ServingBounds().processGrace, clock::now),
+            lifecycle,
             PlainExecutor(selector, client, budgets, watchdog, emptyQuarantine(), clock::now),
             StreamExecutor(
                 selector,
@@ -107,7 +115,26 @@
         }
     }
 
+    /** Guards against requests that are cut, although they may not be repeated, in a planned stop. */
+    @Test
+    fun `a stopping node passes on no request that its end may cut`() {
+        val cases = listOf(
+            Triple(1.seconds, 20.seconds, NO_ROUTE),
+            Triple(3.seconds, 1.5.seconds, NO_ROUTE),
+            Triple(3.seconds, 20.seconds, LEAVING),
+            Triple(6.4.seconds, 1.5.seconds, LEAVING),
+            Triple(6.seconds, 0.6.seconds, NO_ROUTE)
+        )
+        for ((after, timeout, expected) in cases) {
+            val missing = listOf(ServiceShare("missing", 1))
+            val got = handle(missing, leavingFor = after, timeout = timeout)
+            assertEquals(listOf(expected), got, "$timeout, $after after the stop")
+        }
+    }
+
     private companion object {
         const val UNAVAILABLE = "refused PLATFORM_UNAVAILABLE return"
+        const val LEAVING = "refused LEAVING return"
+        const val NO_ROUTE = "refused NO_ROUTE return"
     }
 }
