--- a/store/src/main/kotlin/org/bramleytrestle/store/StoreHttpClient.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/StoreHttpClient.kt
@@ -110,6 +110,10 @@
                     failure(request, cause)
                 } catch (cause: IllegalArgumentException) {
                     failure(request, cause)
+                } catch (cause: StackOverflowError) {
+                    // Without a result the caller would wait forever.
+                    log.error { "store: ${request.method} ${request.url}: body nested too deeply" }
+                    failure(request, IOException("body nested too deeply", cause))
                 }
                 continuation.resume(result)
             }
