Leave out servers that claim layers which they cannot hold

An entry with layers beyond the model's, or up to the largest integer, made the search for chains and the placement fail with an exception: every request of the service ended with an error, and no layers were placed (ChainFinderTest, PlacementControllerTest; the first one failed before, the second stopped in the same way). An entry with more layers than the accelerator's memory would draw all streams.

Both use only servers whose claim fits the model and the accelerator.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ChainFinder.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ChainFinder.kt
@@ -26,7 +26,7 @@
 
     /** Distinct chains over [servers]; chains within one data centre come first. */
     public fun find(servers: List<BackendServer>): List<Chain> {
-        val holders = servers.filter { it.held != null && it.card in model.cards }
+        val holders = servers.filter { it.held != null && model.fits(it) }
         val chains = LinkedHashMap<String, Chain>()
         val centres = holders.groupBy { it.dataCentre }.toSortedMap()
         for (centre in centres.values) {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ModelProfile.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ModelProfile.kt
@@ -34,6 +34,16 @@
     val cacheMegabytesPerLayer: Double
         get() = cacheBytesPerToken / layers / BYTES_PER_MEGABYTE
 
+    /**
+     * Whether [server] has a known accelerator and what it claims to hold is possible; entries of
+     * servers may come from any writer.
+     */
+    internal fun fits(server: BackendServer): Boolean {
+        val card = cards[server.card] ?: return false
+        val held = server.held ?: return true
+        return held.until <= layers && held.size * layerMegabytes <= card.megabytes
+    }
+
     private companion object {
         const val BYTES_PER_MEGABYTE = 1e6
     }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlacementController.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlacementController.kt
@@ -49,7 +49,7 @@
         states.keys.retainAll(config.services.keys)
         for (service in config.services.values) {
             val model = service.model?.takeIf { it.layers > 0 } ?: continue
-            val servers = fleet.ready[service.name].orEmpty().filter { it.card in model.cards }
+            val servers = fleet.ready[service.name].orEmpty().filter(model::fits)
             val state = states.getOrPut(service.name) { ServiceState() }
             if (isObservable(state, servers)) place(state, servers, model)
         }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/ChainFinderTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/ChainFinderTest.kt
@@ -54,4 +54,21 @@
         )
         assertEquals(emptyList(), finder.find(servers))
     }
+
+    /** Guards against one odd entry that makes every request of the service fail. */
+    @Test
+    fun `a server that claims layers which it cannot hold is left out`() {
+        val servers = placedServers("a")
+        val impossible = listOf(
+            LayerRange(0, model.layers + 1),
+            LayerRange(79, Int.MAX_VALUE),
+            // More than the card's memory holds.
+            LayerRange(0, model.layers)
+        )
+        for (held in impossible) {
+            val odd = modelServer("odd", "a", "large", held)
+            val chains = finder.find(servers + odd)
+            assertEquals(finder.find(servers).map { it.label }, chains.map { it.label })
+        }
+    }
 }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PlacementControllerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PlacementControllerTest.kt
@@ -46,6 +46,20 @@
         assertEquals(centre("a").size, orders.placed.size)
     }
 
+    /** Guards against an odd entry that ends the placement of all other servers. */
+    @Test
+    fun `a server that claims layers which the model does not have gets no order`() {
+        for (until in listOf(model.layers + 1, Int.MAX_VALUE)) {
+            orders.placed.clear()
+            val odd = modelServer("odd", "a", "large", LayerRange(0, until))
+            val patient = PlacementController(orders, { holdsLease }, clock::now)
+            patient.step(Fleet(centre("a") + odd), config)
+            clock.advance(2.seconds)
+            patient.step(Fleet(centre("a") + odd), config)
+            assertEquals(centre("a").map { it.id }.toSet(), orders.placed.map { it.first }.toSet())
+        }
+    }
+
     /** Guards against orders to a server that wants nothing for a time. */
     @Test
     fun `a server that holds requests back gets its order afterwards`() {
