Confirm no copy at a time that lies in the future

After a suspension of the machine, a watch that ended meanwhile was confirmed at the end of its wait, which the monotonic clock reaches only later. Confirmations until then counted as earlier and were ignored: keys were refused as unconfirmed for up to 1.5 s (KindWatcherTest: confirmed 1 s ahead; failed before).

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/KindWatcher.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/KindWatcher.kt
@@ -73,7 +73,7 @@
             // only the time of sending, and the next wait is shortened to make up for it.
             val elapsed = now().since(sentAt)
             val timedOut = batch.events.isEmpty() && elapsed >= wait
-            copy.confirm(if (timedOut) sentAt + wait else sentAt)
+            copy.confirm(if (timedOut) (sentAt + wait).notAfter(now()) else sentAt)
             wait = if (timedOut) longestWait else (longestWait - elapsed).coerceAtLeast(MIN_WAIT)
             if (batch.events.isNotEmpty()) delay(pause)
         }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/Moment.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Moment.kt
@@ -21,6 +21,15 @@
         wallMillis + span.inWholeMilliseconds
     )
 
+    /**
+     * This moment, or [other] where that is earlier, by each clock. A time that was computed in
+     * advance may lie in the future of the monotonic clock after a suspension.
+     */
+    public fun notAfter(other: Moment): Moment = Moment(
+        minOf(monotonicNanos, other.monotonicNanos),
+        minOf(wallMillis, other.wallMillis)
+    )
+
     public companion object {
         public fun now(): Moment = Moment(System.nanoTime(), System.currentTimeMillis())
     }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/KindWatcherTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/KindWatcherTest.kt
@@ -31,7 +31,8 @@
     private class ScriptedStore(
         lists: List<Result<StoredObjectList, StoreError>>,
         watches: List<Result<WatchBatch, StoreError>>,
-        private val clock: FakeClock
+        private val clock: FakeClock,
+        private val suspension: Duration
     ) : BatchWatchStore {
         private val lists = ArrayDeque(lists)
         private val watches = ArrayDeque(watches)
@@ -51,7 +52,10 @@
             val answer = watches.removeFirstOrNull() ?: awaitCancellation()
             if (answer.getOrElse { null }?.events?.isEmpty() == true) {
                 delay(wait)
-                clock.advance(wait)
+                clock.advance(wait - suspension)
+                // Only the wall clock counts the time for which the machine was suspended.
+                val wallMillis = clock.moment.wallMillis + suspension.inWholeMilliseconds
+                clock.moment = clock.moment.copy(wallMillis = wallMillis)
             } else {
                 clock.advance(EVENT_TIME)
             }
@@ -79,6 +83,7 @@
     private companion object {
         /** Time after which a scripted watch returns with events. */
         val EVENT_TIME = 2.seconds
+        val EVENT_TIME_NANOS = EVENT_TIME.inWholeNanoseconds
     }
 
     private val clock = FakeClock()
@@ -87,9 +92,10 @@
 
     private fun watch(
         lists: List<Result<StoredObjectList, StoreError>>,
-        watches: List<Result<WatchBatch, StoreError>>
+        watches: List<Result<WatchBatch, StoreError>>,
+        suspension: Duration = Duration.ZERO
     ): ScriptedStore {
-        val store = ScriptedStore(lists, watches, clock)
+        val store = ScriptedStore(lists, watches, clock, suspension)
         runTest {
             val copy = KindCopy(
                 "k",
@@ -149,4 +155,14 @@
         watch(listOf(list), listOf(batch(10)))
         assertEquals(listOf(sent, sent + 3.seconds), confirmed)
     }
+
+    /** Guards against requests that are refused because later confirmations count as earlier. */
+    @Test
+    fun `no confirmation lies in the future after the machine was suspended`() {
+        watch(listOf(list), listOf(batch(10), batch(10, 11)), suspension = 1.seconds)
+        val end = clock.now().monotonicNanos
+        assertEquals(confirmed.sortedBy { it.monotonicNanos }, confirmed)
+        assertEquals(emptyList(), confirmed.filter { it.monotonicNanos > end - EVENT_TIME_NANOS })
+        assertEquals(3, confirmed.size)
+    }
 }
