Let nodes of releases with other versions not take each other for a source

A node whose versions contain the store's era and one whose versions are revisions, as during an upgrade, would compare the two: a follower of the older release would ignore every list of the store after an answer of the newer one. Log lines of leases show the era and the revision.

--- a/serving/src/test/kotlin/org/bramleytrestle/serving/KindCopyTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/KindCopyTest.kt
@@ -2,8 +2,13 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.json.JsonPrimitive
 import org.bramleytrestle.store.StoredObject
 import org.bramleytrestle.store.StoredObjectList
@@ -158,4 +163,30 @@
         follower.follow(reader)
         assertEquals(reader.values, follower.values)
     }
+
+    @Serializable
+    private class RevisionKind(
+        val kind: String = "k",
+        val version: Long,
+        val ageMillis: Long? = 0,
+        val failing: Boolean = false
+    )
+
+    @Serializable
+    private class RevisionAnswer(val kinds: List<RevisionKind> = listOf(RevisionKind(version = 9)))
+
+    /** Guards against copies that compare versions with revisions while a fleet is upgraded. */
+    @OptIn(ExperimentalSerializationApi::class)
+    @Test
+    fun `an answer of a release whose versions are revisions cannot be read, nor the reverse`() {
+        val old = Cbor { encodeDefaults = true }
+        val bytes = old.encodeToByteArray(RevisionAnswer.serializer(), RevisionAnswer())
+        assertFailsWith<SerializationException> { RelayCodec.answer(byteArrayOf(0) + bytes) }
+        val answer = checkNotNull(reader.copy.answer(9))
+        val sent = RelayCodec.encode(RelayAnswer(listOf(answer.copy(items = emptyList()))))
+        val known = Cbor { ignoreUnknownKeys = true }
+        assertFailsWith<SerializationException> {
+            known.decodeFromByteArray(RevisionAnswer.serializer(), sent.drop(1).toByteArray())
+        }
+    }
 }
--- a/store/src/main/kotlin/org/bramleytrestle/store/Lease.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/Lease.kt
@@ -98,7 +98,8 @@
             if (isHeld != wasHeld) {
                 wasHeld = isHeld
                 log.info {
-                    "lease: name=$name holder=$holder held=$isHeld version=$observedVersion"
+                    "lease: name=$name holder=$holder held=$isHeld " +
+                        "version=${StoreVersion.text(observedVersion)}"
                 }
             }
             delay(duration / ATTEMPTS_PER_DURATION)
