--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
@@ -16,7 +16,7 @@
     private val task: RequestTask,
     private val active: ActiveRequest,
     private val budgets: RetryBudgets,
-    private val quarantine: PromptQuarantine,
+    private val quarantine: RequestQuarantine,
     private val minRemaining: Duration,
     private val now: () -> Moment
 ) {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/CrashEvidenceStore.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/CrashEvidenceStore.kt
@@ -55,7 +55,7 @@
 
     /** Stores [evidence], merged with what is stored; tries again while the store is away. */
     public suspend fun merge(evidence: CrashEvidence) {
-        val until = evidence.seenMillis + PromptQuarantine.LIFETIME.inWholeMilliseconds
+        val until = evidence.seenMillis + RequestQuarantine.LIFETIME.inWholeMilliseconds
         var retryDelay = MIN_RETRY_DELAY
         while (now().wallMillis < until) {
             val error = tryMerge(evidence) ?: return
@@ -67,7 +67,7 @@
 
     /** Deletes the evidence that has expired. */
     public suspend fun deleteExpired() {
-        val oldest = now().wallMillis - PromptQuarantine.LIFETIME.inWholeMilliseconds
+        val oldest = now().wallMillis - RequestQuarantine.LIFETIME.inWholeMilliseconds
         val expired = synchronized(this) { items.filterValues { it.first.seenMillis < oldest } }
         for ((name, item) in expired) {
             store.delete(KIND, name, item.second).mapBoth(
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
@@ -17,7 +17,7 @@
     private val client: ServerClient,
     private val budgets: RetryBudgets,
     private val watchdog: Watchdog,
-    private val quarantine: PromptQuarantine,
+    private val quarantine: RequestQuarantine,
     private val now: () -> Moment = Moment::now
 ) {
     public fun run(task: RequestTask): RequestOutcome {
@@ -132,14 +132,14 @@
         try {
             while (true) {
                 task.reply.event(events.next() ?: break)
-                if (++count == PromptQuarantine.BEGINNING_EVENTS) {
+                if (++count == RequestQuarantine.BEGINNING_EVENTS) {
                     quarantine.onAnswered(task.request.content)
                 }
             }
         } catch (e: CallerReply.CallerDisconnectedException) {
             throw e
         } catch (e: IOException) {
-            if (count < PromptQuarantine.BEGINNING_EVENTS && active.cancelCause == null) {
+            if (count < RequestQuarantine.BEGINNING_EVENTS && active.cancelCause == null) {
                 quarantine.onBroken(task.request.content, server, begun = true)
             }
             task.reply.abort()
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestHandler.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestHandler.kt
@@ -11,7 +11,7 @@
     private val lifecycle: NodeLifecycle,
     private val plain: PlainExecutor,
     private val streams: StreamExecutor,
-    private val quarantine: PromptQuarantine,
+    private val quarantine: RequestQuarantine,
     private val onEnd: (RequestTrace, RequestOutcome, Duration) -> Unit,
     private val now: () -> Moment = Moment::now
 ) {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PromptQuarantine.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestQuarantine.kt
@@ -24,7 +24,7 @@
  * @param share makes evidence known to all nodes, merged with what they know.
  * @param mayClear whether this node is one of those that clear suspect parts for all nodes.
  */
-public class PromptQuarantine(
+public class RequestQuarantine(
     private val hasEnded: (BackendServer) -> Boolean,
     private val schedule: (delay: Duration, task: () -> Unit) -> Unit,
     private val share: (CrashEvidence) -> Unit,
@@ -34,6 +34,14 @@
 ) {
     private data class Break(val content: RequestContent, val begun: Boolean)
 
+    /**
+     * What is withheld or may have to be, decided from all evidence.
+     *
+     * @property groups blamed parts; a request with all parts of a group is withheld.
+     * @property requests ids of requests that are withheld themselves.
+     * @property suspects parts that an answer would clear.
+     * @property suspectRequests ids of requests that an answer would clear.
+     */
     private data class Blocks(
         val groups: Set<Set<String>> = emptySet(),
         val requests: Set<String> = emptySet(),
@@ -127,8 +135,8 @@
     }
 
     @Synchronized
-    private fun unshared(prompts: Collection<String>) =
-        prompts.mapNotNull { observed[it] }.filterNot(::isShared)
+    private fun unshared(requests: Collection<String>) =
+        requests.mapNotNull { observed[it] }.filterNot(::isShared)
 
     private fun isShared(own: CrashEvidence): Boolean =
         shared[own.request].let { it != null && it.merge(own) == it }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -16,7 +16,7 @@
     private val budgets: RetryBudgets,
     private val watchdog: Watchdog,
     private val stalls: StallInspector,
-    private val quarantine: PromptQuarantine,
+    private val quarantine: RequestQuarantine,
     private val now: () -> Moment = Moment::now,
     private val pause: (Duration) -> Unit = { Thread.sleep(it.inWholeMilliseconds) }
 ) {
@@ -219,7 +219,7 @@
                 if (!isNext(event, progress)) continue
                 task.reply.event(event)
                 progress.lastEvent = event.number ?: progress.lastEvent
-                if (++count == PromptQuarantine.BEGINNING_EVENTS) {
+                if (++count == RequestQuarantine.BEGINNING_EVENTS) {
                     quarantine.onAnswered(task.request.content)
                 }
             }
@@ -231,7 +231,7 @@
             if (active.cancelCause == CancelCause.STALLED) {
                 nextEventTimeout.record(now().since(waitStart))
             }
-            if (count < PromptQuarantine.BEGINNING_EVENTS && active.cancelCause == null) {
+            if (count < RequestQuarantine.BEGINNING_EVENTS && active.cancelCause == null) {
                 quarantine.onBroken(task.request.content, chain.first, begun = true)
             }
             val reason = "$e after $count events, longest pause $longest"
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/CrashEvidenceStoreTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/CrashEvidenceStoreTest.kt
@@ -84,7 +84,7 @@
     fun `objects that cannot be read are ignored and expired evidence is deleted`() = runTest {
         store.put(CrashEvidenceStore.KIND, "odd", JsonPrimitive(17))
         evidenceStore.merge(evidence("old", setOf("d"), "s1"))
-        clock.advance(PromptQuarantine.LIFETIME)
+        clock.advance(RequestQuarantine.LIFETIME)
         clock.advance(1.seconds)
         evidenceStore.merge(evidence("new", setOf("d"), "s2"))
         read()
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/Fakes.kt
@@ -26,7 +26,7 @@
 }
 
 /** A quarantine that has no evidence and does not look for any. */
-internal fun emptyQuarantine() = PromptQuarantine({ false }, { _, _ -> }, {})
+internal fun emptyQuarantine() = RequestQuarantine({ false }, { _, _ -> }, {})
 
 /** Model and accelerators of the users' first deployment. */
 internal val model = ModelProfile(
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PlainExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PlainExecutorTest.kt
@@ -22,7 +22,7 @@
     private fun run(
         kind: RequestKind,
         client: ScriptedClient,
-        quarantine: PromptQuarantine = emptyQuarantine()
+        quarantine: RequestQuarantine = emptyQuarantine()
     ): List<String> {
         val clock = FakeClock()
         val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
@@ -94,7 +94,7 @@
         )
         for ((i, case) in cases.withIndex()) {
             var checked = 0
-            val quarantine = PromptQuarantine({ false }, { _, _ -> checked++ }, {})
+            val quarantine = RequestQuarantine({ false }, { _, _ -> checked++ }, {})
             run(RequestKind.STREAM, ScriptedClient(case.first), quarantine)
             assertEquals(case.second, checked, "case $i")
         }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/RequestHandlerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/RequestHandlerTest.kt
@@ -16,7 +16,7 @@
     private fun handle(
         shares: List<ServiceShare>,
         prompt: Prompt? = null,
-        quarantine: PromptQuarantine = emptyQuarantine(),
+        quarantine: RequestQuarantine = emptyQuarantine(),
         organisations: List<Organisation> = emptyList(),
         path: String = "/p/1",
         age: Duration = Duration.ZERO,
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PromptQuarantineTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/RequestQuarantineTest.kt
@@ -9,7 +9,7 @@
 import kotlin.time.Duration.Companion.seconds
 import org.bramleytrestle.model.ErrorKind
 
-class PromptQuarantineTest {
+class RequestQuarantineTest {
     private val clock = FakeClock()
     private val begin = clock.now()
     private val elapsed get() = clock.now().since(begin)
@@ -20,7 +20,7 @@
     private val stored = mutableMapOf<String, CrashEvidence>()
     private var shares = 0
     private var exchangeTime = 500.milliseconds
-    private val nodes: MutableList<PromptQuarantine> = MutableList(NODES) { startNode(Random(it)) }
+    private val nodes: MutableList<RequestQuarantine> = MutableList(NODES) { startNode(Random(it)) }
     private val crashes = mutableListOf<Duration>()
     private val ended = mutableSetOf<BackendServer>()
     private var starts = 0
@@ -28,7 +28,7 @@
 
     private fun startServer() = modelServer("s${starts++}", "a", "large")
 
-    private fun startNode(random: Random): PromptQuarantine = PromptQuarantine(
+    private fun startNode(random: Random): RequestQuarantine = RequestQuarantine(
         hasEnded = { it in ended },
         schedule = { delay, task -> scheduled += elapsed + delay to task },
         share = { evidence ->
@@ -52,7 +52,7 @@
 
     /** Sends a request as a node does; returns the number of servers that it reached. */
     private fun send(
-        node: PromptQuarantine,
+        node: RequestQuarantine,
         prompt: RequestContent,
         crashes: Boolean,
         begun: Boolean = true
@@ -236,13 +236,13 @@
         }
         advance(1.seconds)
         assertTrue(node.blocks(deadly[0]))
-        clock.advance(PromptQuarantine.LIFETIME - 60.seconds)
+        clock.advance(RequestQuarantine.LIFETIME - 60.seconds)
         assertTrue(node.blocks(deadly[0]))
         advance(1.seconds)
         clock.advance(120.seconds)
         node.refresh()
         assertTrue(node.blocks(deadly[0]), "refused requests extend the block")
-        clock.advance(PromptQuarantine.LIFETIME)
+        clock.advance(RequestQuarantine.LIFETIME)
         node.refresh()
         assertTrue(!node.blocks(deadly[0]))
     }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -27,7 +27,7 @@
         resumable: Boolean,
         client: ServerClient,
         prompt: Prompt? = null,
-        quarantine: PromptQuarantine = emptyQuarantine(),
+        quarantine: RequestQuarantine = emptyQuarantine(),
         reply: RecordedReply = RecordedReply(),
         fleet: List<BackendServer> = servers("a", "b", "c")
     ): String {
@@ -290,8 +290,8 @@
             val block = { id: String ->
                 CrashEvidence(id, setOf("d"), setOf("$id@1"), true, FakeClock().now().wallMillis)
             }
-            lateinit var quarantine: PromptQuarantine
-            quarantine = PromptQuarantine(
+            lateinit var quarantine: RequestQuarantine
+            quarantine = RequestQuarantine(
                 hasEnded = { true },
                 schedule = { _, task ->
                     broken++
