Test that an odd entry hides no gap between layers

The test compares the orders with and without the entry for each server whose loss leaves a gap, and fails without the check.

--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PlacementControllerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PlacementControllerTest.kt
@@ -46,17 +46,28 @@
         assertEquals(centre("a").size, orders.placed.size)
     }
 
-    /** Guards against an odd entry that ends the placement of all other servers. */
+    /** Guards against layers that nobody holds because an odd entry claims all of them. */
     @Test
-    fun `a server that claims layers which the model does not have gets no order`() {
-        for (until in listOf(model.layers + 1, Int.MAX_VALUE)) {
+    fun `a server that claims layers which it cannot hold changes no order`() {
+        fun placedFor(fleet: Fleet): Set<Pair<String, LayerRange>> {
             orders.placed.clear()
+            val controller = PlacementController(orders, { holdsLease }, clock::now)
+            repeat(2) {
+                controller.step(fleet, config)
+                clock.advance(2.seconds)
+            }
+            return orders.placed.map { it.first to it.second }.toSet()
+        }
+        val plan = LayerPlanner(model).plan(centre("a").map(::placed)).layers
+        val servers = centre("a").map { it.copy(held = plan[it.id]) }
+        // Each of the lost servers leaves layers that no other one holds.
+        val lost = servers.filter { placedFor(Fleet(servers - it)).isNotEmpty() }
+        assertTrue(lost.isNotEmpty())
+        for (until in listOf(model.layers, model.layers + 1, Int.MAX_VALUE)) {
             val odd = modelServer("odd", "a", "large", LayerRange(0, until))
-            val patient = PlacementController(orders, { holdsLease }, clock::now)
-            patient.step(Fleet(centre("a") + odd), config)
-            clock.advance(2.seconds)
-            patient.step(Fleet(centre("a") + odd), config)
-            assertEquals(centre("a").map { it.id }.toSet(), orders.placed.map { it.first }.toSet())
+            for (rest in lost.map { servers - it }) {
+                assertEquals(placedFor(Fleet(rest)), placedFor(Fleet(rest + odd)), "$until layers")
+            }
         }
     }
 
