--- a/review/harness/Site.java
+++ b/review/harness/Site.java
@@ -27,7 +27,10 @@
 
     private Site() {}
 
-    /** The operator's configuration; the shapes and figures are those that the bench prints. */
+    /**
+     * The operator's configuration; the shapes and figures are those that the bench prints. Without
+     * keys it has no tenant.
+     */
     static String config(int version, String... keys) {
         StringBuilder credentials = new StringBuilder();
         for (String key : keys) {
@@ -60,8 +63,8 @@
             + "\"protocol\":\"h1\",\"transportSecurity\":false}],"
             + "\"limits\":{\"headerBytes\":16384,\"bodyBytes\":4194304,\"headerTimeoutMs\":3000,"
             + "\"idleTimeoutMs\":15000},"
-            + "\"tenants\":[{\"name\":\"hule930\",\"credentials\":[" + credentials
-            + "],\"priority\":1}]}";
+            + "\"tenants\":[" + (keys.length == 0 ? "" : "{\"name\":\"hule930\",\"credentials\":["
+            + credentials + "],\"priority\":1}") + "]}";
     }
 
     /** What a server does with a request that it runs. */
