--- a/review/harness/Site.java
+++ b/review/harness/Site.java
@@ -156,9 +156,11 @@
                 InputStream in = new BufferedInputStream(socket.getInputStream(), 65536);
                 OutputStream out = socket.getOutputStream();
                 while (up) {
+                    socket.setSoTimeout(0);
                     Wire.Head head = Wire.readHead(in);
                     if (head == null) return;
                     byte[] body = Wire.readBody(in, head);
+                    socket.setSoTimeout(10);
                     if (!handle(head, body, in, out)) return;
                 }
             } catch (Exception e) {
@@ -264,6 +266,19 @@
             open();
         }
 
+        /** Whether the caller has closed the connection of a request; waits 10 ms for it. */
+        boolean hasClosed(InputStream in) throws IOException {
+            in.mark(1);
+            try {
+                int next = in.read();
+                if (next < 0) return true;
+                in.reset();
+            } catch (java.net.SocketTimeoutException e) {
+                return false;
+            }
+            return false;
+        }
+
         String answerHeaders(Wire.Head request) {
             return "X-Request-Id: " + request.get("X-Request-Id") + "\r\nX-Response-Seal: "
                 + id + ".1\r\nX-Weight-Versions: 1\r\nX-Server-Load: " + running.get() + ",0,"
