Find crashing parts in prompts of any number of parts

What grew with the number of parts is bounded: the search for a common part takes one pass over the evidence, groups are looked up in a set, log lines name the first 64 parts.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/CrashEvidence.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/CrashEvidence.kt
@@ -31,4 +31,7 @@
         seenMillis = maxOf(seenMillis, other.seenMillis),
         answered = answered || other.answered
     )
+
+    override fun toString(): String = "request=$request suspects=${summarise(suspects)} " +
+        "servers=$servers begun=$begun seenMillis=$seenMillis answered=$answered"
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestContent.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestContent.kt
@@ -10,6 +10,12 @@
  * @property id the same for all repeats of a request, and for no other request.
  */
 public data class RequestContent(val parts: List<String>, val id: String) {
+    /** A prompt may have thousands of parts, and so may a group of blamed ones. */
+    private val partSet by lazy(LazyThreadSafetyMode.PUBLICATION) { parts.toHashSet() }
+
+    /** Whether the prompt contains all of [group]. */
+    internal fun containsAll(group: Set<String>): Boolean = partSet.containsAll(group)
+
     public companion object {
         /** Two different requests with the same id would have to be looked for on purpose. */
         private const val ID_BYTES = 16
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestQuarantine.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestQuarantine.kt
@@ -74,7 +74,7 @@
     public fun refusalOf(content: RequestContent): ErrorKind? {
         val current = blocks.get()
         val kind = when {
-            current.groups.any { content.parts.containsAll(it) } -> ErrorKind.PROMPT_WITHHELD
+            current.groups.any(content::containsAll) -> ErrorKind.PROMPT_WITHHELD
             content.id in current.requests -> ErrorKind.REQUEST_WITHHELD
             else -> return null
         }
@@ -161,7 +161,8 @@
         )
         val before = blocks.getAndSet(next)
         if (next.groups != before.groups) {
-            log.warn { "prompts: blocked=${next.groups}, before ${before.groups}" }
+            val (blocked, earlier) = listOf(next, before).map { it.groups.map(::summarise) }
+            log.warn { "prompts: blocked=$blocked, before $earlier" }
         }
         if (next.requests != before.requests) {
             log.warn { "prompts: blocked requests=${next.requests}, before ${before.requests}" }
@@ -177,7 +178,7 @@
         val found =
             CrashEvidence(content.id, suspects, setOf(start), begun, now().wallMillis)
         val merged = observed[content.id]?.merge(found) ?: found
-        log.warn { "prompts: server=${server.id} ended on request=${content.id} $merged" }
+        log.warn { "prompts: server=${server.id} ended, $merged" }
         observed[content.id] = merged
         refresh()
         // Most requests that may have been waiting were; their crashes would all be written.
@@ -205,7 +206,7 @@
             if (cleared == evidence) continue
             log.info {
                 "prompts: request=${evidence.request} answered=${cleared.answered} " +
-                    "suspects=${cleared.suspects}, others answered"
+                    "suspects=${summarise(cleared.suspects)}, others answered"
             }
             observed[evidence.request] = cleared
             share(cleared)
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/SuspectParts.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/SuspectParts.kt
@@ -20,10 +20,8 @@
             val explainedServers = mutableSetOf<String>()
             var unexplained = evidence.toList()
             while (true) {
-                val crashes = unexplained.flatMap { it.suspects }.distinct()
-                    .map { part -> unexplained.filter { part in it.suspects } }
-                    .filter(::suffices)
-                    .maxByOrNull(::weight) ?: return SuspectParts(groups, explainedServers)
+                val crashes = crashesByPart(unexplained).filter(::suffices).maxByOrNull(::weight)
+                    ?: return SuspectParts(groups, explainedServers)
                 groups += crashes.map { it.suspects }.reduce { a, b -> a intersect b }
                 val explained = crashes.flatMapTo(mutableSetOf()) { it.servers }
                 explainedServers += explained
@@ -33,6 +31,16 @@
             }
         }
 
+        private fun crashesByPart(
+            evidence: Collection<CrashEvidence>
+        ): Collection<List<CrashEvidence>> {
+            val crashes = LinkedHashMap<String, MutableList<CrashEvidence>>()
+            for (crash in evidence) {
+                for (part in crash.suspects) crashes.getOrPut(part, ::mutableListOf) += crash
+            }
+            return crashes.values
+        }
+
         private fun suffices(crashes: List<CrashEvidence>): Boolean {
             val servers = crashes.flatMapTo(mutableSetOf()) { it.servers }
             return servers.size >= MIN_SERVERS && weight(crashes) >= MIN_WEIGHT
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/RequestQuarantineTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/RequestQuarantineTest.kt
@@ -131,6 +131,8 @@
         val blocked: Set<Set<String>>
     )
 
+    private fun manyParts(prefix: String) = (1..4_000).joinToString(" ") { "$prefix$it" }
+
     private fun prompts(vararg shared: String) =
         shared.mapIndexed { i, parts -> RequestContent(parts.split(' '), "own$i") }
 
@@ -183,6 +185,16 @@
                 "a third prompt tells them apart",
                 prompts = prompts("f1 d", "f1 d", "f2 d"),
                 blocked = setOf(setOf("d"))
+            ),
+            BrokenCase(
+                "two prompts of thousands of parts",
+                prompts = prompts(manyParts("f") + " d", "d " + manyParts("g")),
+                blocked = setOf(setOf("d"))
+            ),
+            BrokenCase(
+                "thousands of parts that cannot be told apart",
+                prompts = prompts(manyParts("f"), manyParts("f")),
+                blocked = setOf(manyParts("f").split(' ').toSet())
             )
         )
         for (case in cases) {
