Fail answers whose head is made of two

Cause: a server that begins to send an earlier answer again leaves a part of it in front of the next one. OkHttp takes the next status line for a header without a name, or for the rest of a line, and of two headers of one name the last counts, so that the checks of id and seal pass on a head whose status is another answer's. Whole extra answers are ruled out: their id fails the exchange.

Change: SingleHeadInterceptor fails a call whose head has a header that is no token or a status line elsewhere than at its start. The answer's ids must all be the request's.

The logs name the cause of each such failure.

--- a/backend/src/main/kotlin/org/bramleytrestle/backend/HttpPools.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/HttpPools.kt
@@ -36,6 +36,7 @@
         .connectTimeout(options.connectTimeout.toJavaDuration())
         .readTimeout(0, TimeUnit.SECONDS)
         .addNetworkInterceptor(RetryAfterInterceptor)
+        .addNetworkInterceptor(SingleHeadInterceptor)
         .eventListenerFactory { call ->
             call.request().tag(SendRecord::class.java) ?: SendRecord()
         }
