Keep no connections to a server that repeats its answers

Requests to a server that sends an answer twice met the copy on the kept connection: of ten requests that may run once, every second one ended without a known outcome (RepeatedAnswerTest, failed before).

Cause: what was seen on one connection changed nothing for the others, and bytes that lay on a connection before a request were read as its answer.

Change: a connection with bytes on it before a request is not used, and the request, of which nothing has been sent, goes over a new one. For ten minutes after bytes that belong to no request, each request to this start of the server has a connection of its own. One log line tells so.

--- a/backend/src/main/kotlin/org/bramleytrestle/backend/SingleHeadInterceptor.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/SingleHeadInterceptor.kt
@@ -1,6 +1,5 @@
 package org.bramleytrestle.backend
 
-import java.net.ProtocolException
 import okhttp3.Interceptor
 import okhttp3.Response
 
@@ -16,11 +15,16 @@
     /** A token (RFC 9110, section 5.6.2). */
     private val HEADER_NAME = Regex("[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 
-    /** @throws ProtocolException if the head is not that of one response. */
+    /**
+     * @throws ForeignBytesException if the server has sent bytes before the request, which is not
+     * sent then, or if the head is not that of one response.
+     */
     override fun intercept(chain: Interceptor.Chain): Response {
+        val pending = chain.connection()?.socket()?.getInputStream()?.available() ?: 0
+        if (pending > 0) throw ForeignBytesException("$pending bytes before the request")
         val response = chain.proceed(chain.request())
         val problem = problemIn(response) ?: return response
-        throw ProtocolException("bytes in front of the response: $problem")
+        throw ForeignBytesException("bytes in front of the response: $problem")
     }
 
     private fun problemIn(response: Response): String? {
--- a/backend/src/test/kotlin/org/bramleytrestle/backend/SingleHeadInterceptorTest.kt
+++ b/backend/src/test/kotlin/org/bramleytrestle/backend/SingleHeadInterceptorTest.kt
@@ -1,6 +1,5 @@
 package org.bramleytrestle.backend
 
-import java.net.ProtocolException
 import java.net.ServerSocket
 import kotlin.concurrent.thread
 import kotlin.test.AfterTest
@@ -28,7 +27,7 @@
         val request = Request.Builder().url("http://127.0.0.1:${listener.localPort}/").build()
         return try {
             client.newCall(request).execute().use { "${it.code}" }
-        } catch (_: ProtocolException) {
+        } catch (_: ForeignBytesException) {
             "failed"
         }
     }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AnnouncedState.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AnnouncedState.kt
@@ -19,7 +19,7 @@
  * @param onChange called with the kind of an announcement that changed the state.
  */
 public class AnnouncedState(
-    private val server: String,
+    internal val server: String,
     private val now: () -> Moment,
     private val share: () -> Double = { 1.0 },
     private val onChange: (kind: AnnouncementKind) -> Unit = {},
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoad.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ServerLoad.kt
@@ -1,5 +1,6 @@
 package org.bramleytrestle.serving
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 
@@ -25,6 +26,24 @@
     @Volatile
     private var avoidUntilNanos = Long.MIN_VALUE
 
+    @Volatile
+    private var foreignBytesAt: Moment? = null
+
+    /**
+     * Whether the server has lately sent bytes that belong to no request, so that its connections
+     * should not be used again.
+     */
+    public val sendsForeignBytes: Boolean
+        get() = foreignBytesAt?.let { now().since(it) < FOREIGN_BYTES_LIFETIME } ?: false
+
+    /** Records that the server sent bytes that belong to no request; [detail] is for the log. */
+    public fun sentForeignBytes(detail: String) {
+        if (!sendsForeignBytes) {
+            log.warn { "servers: server=${announced.server} connections not kept: $detail" }
+        }
+        foreignBytesAt = now()
+    }
+
     /** Requests in flight that this node sent. */
     public val ownInFlight: Int get() = inFlight.get()
 
@@ -71,6 +90,11 @@
     }
 
     private companion object {
+        val log = KotlinLogging.logger {}
+
+        /** A server that repeats answers does so on few of them. */
+        val FOREIGN_BYTES_LIFETIME = Duration.parse("10m")
+
         /** An older report is less accurate than the number of own requests in flight. */
         val REPORT_LIFETIME = Duration.parse("1s")
 
