Clear a withheld request by the answer of any node

A sound request that had been answered, and then waited at three servers that ended, was withheld by all nodes if the node with its answer did not read the store.

Cause: only nodes that read the store clear evidence, which saves writes for parts that most nodes have answers to. The answer to one request is often known to one node alone.

Change: each node clears the requests that it has answers to. Parts are cleared by the same nodes as before.

RequestQuarantineTest 'an answer to a request clears it, whichever node has it' failed before: the request was withheld by all seven nodes.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestQuarantine.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestQuarantine.kt
@@ -87,9 +87,9 @@
         answeredRequests.add(content.id)
         content.parts.forEach(answered::add)
         val current = blocks.get()
-        val clears = content.id in current.suspectRequests ||
+        val clearsParts =
             current.suspects.isNotEmpty() && content.parts.any { it in current.suspects }
-        if (clears) scheduleClearing()
+        scheduleClearing(content.id in current.suspectRequests, clearsParts)
     }
 
     /**
@@ -117,9 +117,10 @@
         observed.values.removeIf(::isShared)
         refresh()
         val current = blocks.get()
-        val clears = current.suspects.any { it in answered } ||
-            current.suspectRequests.any { it in answeredRequests }
-        if (clears) scheduleClearing()
+        scheduleClearing(
+            current.suspectRequests.any { it in answeredRequests },
+            current.suspects.any { it in answered }
+        )
     }
 
     /** Goes on with [evidence] that the store has lost, until it is stored again. */
@@ -196,9 +197,13 @@
         if (request !in answeredRequests) unshared(listOf(request)).forEach(share)
     }
 
-    /** Many nodes have an answer at the same time; most find the part cleared after a delay. */
-    private fun scheduleClearing() {
-        if (!mayClear() || !clearing.compareAndSet(false, true)) return
+    /**
+     * Many nodes have an answer to a part at the same time; a few clear it, and most of these find
+     * it cleared after a delay. The answer to a request may be known to a single node.
+     */
+    private fun scheduleClearing(clearsRequest: Boolean, clearsPart: Boolean) {
+        if (!clearsRequest && !(clearsPart && mayClear())) return
+        if (!clearing.compareAndSet(false, true)) return
         schedule(MAX_CLEAR_DELAY * random.nextDouble()) {
             clearing.set(false)
             clearAnswered()
@@ -208,9 +213,12 @@
     /** Clears the suspect requests and parts of which this node knows an answer. */
     @Synchronized
     private fun clearAnswered() {
+        val clearsParts = mayClear()
         for (evidence in known()) {
             val cleared = evidence.copy(
-                suspects = evidence.suspects.filterNotTo(mutableSetOf()) { it in answered },
+                suspects = evidence.suspects.filterNotTo(mutableSetOf()) {
+                    clearsParts && it in answered
+                },
                 answered = evidence.answered || evidence.request in answeredRequests
             )
             if (cleared == evidence) continue
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/RequestQuarantineTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/RequestQuarantineTest.kt
@@ -28,7 +28,11 @@
 
     private fun startServer() = modelServer("s${starts++}", "a", "large")
 
-    private fun startNode(random: Random): RequestQuarantine = RequestQuarantine(
+    /** Whether the node with the number clears suspect parts. */
+    private var clearers: (Int) -> Boolean = { true }
+
+    private fun startNode(random: Random, number: Int = 0): RequestQuarantine = RequestQuarantine(
+        mayClear = { clearers(number) },
         hasEnded = { it in ended },
         schedule = { delay, task -> scheduled += elapsed + delay to task },
         share = { evidence ->
@@ -428,4 +432,21 @@
         val starting = startNode(Random(7)).also { it.update(stored.values) }
         assertTrue(starting.blocks(blocked))
     }
+
+    /** Guards against a sound request that is withheld although a node has its answer. */
+    @Test
+    fun `an answer to a request clears it, whichever node has it`() {
+        clearers = { it == 0 }
+        nodes.indices.forEach { nodes[it] = startNode(Random(it), it) }
+        val sound = RequestContent(listOf("f"), "sound")
+        val answering = nodes[5]
+        answering.onAnswered(sound)
+        for (node in nodes.take(3)) {
+            node.onAnswered(RequestContent(listOf("f"), "other"))
+            val server = startServer().also { ended += it }
+            node.onBroken(sound, server, begun = false)
+        }
+        advance(5.seconds)
+        assertEquals(emptyList(), nodes.filter { it.blocks(sound) })
+    }
 }
