--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -231,6 +231,7 @@
         self.arrived = []
         self.work = 0.02
         self.alive, self.cold_until, self.load_s = True, 0.0, 0.3
+        self.pause_until, self.short_of_memory = 0.0, False
 
     def entry(self):
         entry = {"service": self.service, "address": self.address, "zone": self.zone,
@@ -340,6 +341,11 @@
             self.running -= 1
 
     async def _stream(self, request, writer):
+        if self.short_of_memory:
+            writer.write(response(503, [("X-Request-Id", request.id), ("X-Not-Executed", "1"),
+                                        ("X-Server-Load", f"{self.running},0,{self.slots}")]))
+            self.rig.record(f"server {self.id} is short of memory, refuses {request.id}")
+            return
         faulty = self.faulty_hop(request)
         if faulty:
             writer.write(response(503, [("X-Request-Id", request.id), ("X-Not-Executed", "1"),
@@ -362,6 +368,8 @@
             first = int(request.headers.get("Last-Event-Id") or 0) + 1
             for number in range(first, self.rig.events + 1):
                 await asyncio.sleep(self.rig.event_gap)
+                while self.rig.record.now < self.pause_until:
+                    await asyncio.sleep(0.01)
                 if self.faulty_hop(request):
                     await asyncio.sleep(STALL_S)
                     writer.transport.abort()
