Let no unexpected exception or error end a periodic task for good

The class: a loop that must outlast its steps named the failures that it survives.

Change: `guarded` and `keepRunning` (model) log any failure of a step, errors of the runtime included, and go on; only the end of the task's own coroutine ends it. Records that another writer may spoil are read by rule: a lease record that cannot be read has a holder that is not known (it expires like any other, fencing numbers go on above it), and a node waits for a peer secret that can be read.

Tests that failed before: PlacementControllerTest (IllegalArgumentException), WatchdogTest (IllegalStateException ended the round), LeaseTest (JsonDecodingException ended the task), NodeDirectoryTest (IllegalArgument ended joining), RequestQuarantineTest (later breaks at the server unchecked).

--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/TcpTransport.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/TcpTransport.kt
@@ -4,6 +4,7 @@
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.aSocket
+import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.TimeSource
@@ -18,6 +19,8 @@
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
+import org.bramleytrestle.model.guarded
+import org.bramleytrestle.model.guardedBlocking
 
 /**
  * [Transport] over TCP. Connections are opened on demand and closed when idle, since a full mesh
@@ -86,36 +89,37 @@
     }
 
     private suspend fun accept() {
-        while (scope.isActive) {
-            val socket = try {
-                server.accept()
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: Exception) {
-                if (stopping) return
-                log.warn { "cluster: accept failed: ${e.message}" }
-                delay(heartbeat)
-                continue
-            }
-            if (unauthenticated.get() >= MAX_UNAUTHENTICATED) {
-                socket.close()
-                continue
-            }
-            val connection = TcpConnection(socket.remoteAddress.toString(), clock)
-            connections += connection
-            unauthenticated.incrementAndGet()
-            connection.job = scope.launch {
-                runConnection(connection) {
-                    try {
-                        connection.attach(socket)
-                        withTimeout(heartbeat * UNRESPONSIVE_HEARTBEATS) {
-                            connection.peer = handshake.respond(connection)
-                        }
-                    } finally {
-                        unauthenticated.decrementAndGet()
+        while (!stopping) {
+            if (!guarded("cluster") { acceptOne() } && !stopping) delay(heartbeat)
+        }
+    }
+
+    private suspend fun acceptOne() {
+        val socket = try {
+            server.accept()
+        } catch (e: IOException) {
+            // Stopping closes the listener.
+            if (stopping) return
+            throw e
+        }
+        if (unauthenticated.get() >= MAX_UNAUTHENTICATED) {
+            socket.close()
+            return
+        }
+        val connection = TcpConnection(socket.remoteAddress.toString(), clock)
+        connections += connection
+        unauthenticated.incrementAndGet()
+        connection.job = scope.launch {
+            runConnection(connection) {
+                try {
+                    connection.attach(socket)
+                    withTimeout(heartbeat * UNRESPONSIVE_HEARTBEATS) {
+                        connection.peer = handshake.respond(connection)
                     }
-                    connectionsByPeer.putIfAbsent(connection.peer, connection)
+                } finally {
+                    unauthenticated.decrementAndGet()
                 }
+                connectionsByPeer.putIfAbsent(connection.peer, connection)
             }
         }
     }
@@ -176,23 +180,24 @@
         while (true) {
             delay(heartbeat / 2)
             for (connection in connections.filter { it.established }) {
-                val unansweredMillis = connection.unansweredMillis
-                when {
-                    unansweredMillis >= unansweredLimit -> {
-                        log.info {
-                            "cluster: no answer from ${connection.peer} for " +
-                                "$unansweredMillis ms; closing its connection"
-                        }
-                        closeConnection(connection, resend = true)
-                    }
-                    unansweredMillis >= heartbeat.inWholeMilliseconds ->
-                        connection.queue.offer(
-                            TcpConnection.KEEPALIVE_REQUEST,
-                            Delivery.REPLACEABLE
-                        )
-                    connection.idleMillis >= idleLimit -> closeConnection(connection, resend = true)
+                guardedBlocking("cluster") { check(connection, unansweredLimit, idleLimit) }
+            }
+        }
+    }
+
+    private fun check(connection: TcpConnection, unansweredLimit: Long, idleLimit: Long) {
+        val unansweredMillis = connection.unansweredMillis
+        when {
+            unansweredMillis >= unansweredLimit -> {
+                log.info {
+                    "cluster: no answer from ${connection.peer} for " +
+                        "$unansweredMillis ms; closing its connection"
                 }
+                closeConnection(connection, resend = true)
             }
+            unansweredMillis >= heartbeat.inWholeMilliseconds ->
+                connection.queue.offer(TcpConnection.KEEPALIVE_REQUEST, Delivery.REPLACEABLE)
+            connection.idleMillis >= idleLimit -> closeConnection(connection, resend = true)
         }
     }
 
--- a/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/NodeRuntime.kt
@@ -22,6 +22,7 @@
 import org.bramleytrestle.model.Invariants
 import org.bramleytrestle.model.OrganisationId
 import org.bramleytrestle.model.Rendezvous
+import org.bramleytrestle.model.keepRunning
 import org.bramleytrestle.node.config.NodeConfig
 import org.bramleytrestle.node.config.RoutingMode
 import org.bramleytrestle.node.drain.Drain
@@ -181,24 +182,27 @@
         }
         registerGauges()
         cluster.start()
-        scope.launch { instances.run() }
-        scope.launch { instances.instances.collect(::onInstanceList) }
-        scope.launch { SettingsFollower(holder, changeLog, ::isWatcher).run() }
-        scope.launch { publisher.run() }
-        scope.launch { callRecords.run() }
-        scope.launch { limits.run() }
-        scope.launch {
-            ReportPoller(
-                control = backends.control,
-                registry = registry,
-                ranks = { pollAssignment.ranks(members(), it) },
-                share = cluster::shareReports
-            ).run(scope)
-        }
+        val poller = ReportPoller(
+            control = backends.control,
+            registry = registry,
+            ranks = { pollAssignment.ranks(members(), it) },
+            share = cluster::shareReports
+        )
+        keep("instances") { instances.run() }
+        keep("instances") { instances.instances.collect(::onInstanceList) }
+        keep("settings") { SettingsFollower(holder, changeLog, ::isWatcher).run() }
+        keep("routing") { publisher.run() }
+        keep("call records") { callRecords.run() }
+        keep("limits") { limits.run() }
+        keep("reports") { poller.run(scope) }
         operatorListener.start()
         callerListener.start()
     }
 
+    private fun keep(task: String, run: suspend () -> Unit) {
+        scope.launch { keepRunning(task, RESTART_PAUSE, run) }
+    }
+
     /**
      * Drains this node and stops it. Returns when no request is in flight and the peers have been
      * notified.
@@ -314,5 +318,8 @@
         // Share of the platform's limit of 2,000 reads per second that all nodes together may use.
         const val PLATFORM_CALLS_PER_SECOND = 1_500.0
         const val MAX_OPERATOR_BODY_BYTES = 2_000_000L
+
+        /** Pause before a task that failed unexpectedly starts anew. */
+        val RESTART_PAUSE = 1.seconds
     }
 }
--- a/node/src/main/kotlin/org/bramleytrestle/node/servers/ReportPoller.kt
+++ b/node/src/main/kotlin/org/bramleytrestle/node/servers/ReportPoller.kt
@@ -14,6 +14,7 @@
 import org.bramleytrestle.model.Instance
 import org.bramleytrestle.model.InstanceId
 import org.bramleytrestle.model.LoadReport
+import org.bramleytrestle.model.guarded
 
 /**
  * Polls the load of the backend servers assigned to this node and shares the reports with the
@@ -52,16 +53,20 @@
     private suspend fun poll(instance: Instance) {
         var failures = 0
         while (true) {
-            control.report(instance.address)
-                .onSuccess {
-                    failures = 0
-                    registry.recordReport(it)
-                    unsharedReports += it
-                }
-                .onFailure { failure ->
-                    failures++
-                    if (failures >= FAILURE_THRESHOLD) registry.recordFailure(instance.id, failure)
-                }
+            guarded("report of ${instance.id.value}") {
+                control.report(instance.address)
+                    .onSuccess {
+                        failures = 0
+                        registry.recordReport(it)
+                        unsharedReports += it
+                    }
+                    .onFailure { failure ->
+                        failures++
+                        if (failures >= FAILURE_THRESHOLD) {
+                            registry.recordFailure(instance.id, failure)
+                        }
+                    }
+            }
             delay(if (currentRanks[instance.id] == 0) interval else interval * STANDBY_FACTOR)
         }
     }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/CrashEvidenceStore.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/CrashEvidenceStore.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.bramleytrestle.model.guarded
 import org.bramleytrestle.store.ObjectStore
 import org.bramleytrestle.store.StoreError
 import org.bramleytrestle.store.StoreVersion
@@ -58,7 +59,8 @@
         val until = evidence.seenMillis + RequestQuarantine.LIFETIME.inWholeMilliseconds
         var retryDelay = MIN_RETRY_DELAY
         while (now().wallMillis < until) {
-            val error = tryMerge(evidence) ?: return
+            var error: StoreError? = null
+            if (guarded("evidence") { error = tryMerge(evidence) } && error == null) return
             log.warn { "prompts: storing evidence of request=${evidence.request} failed: $error" }
             delay(retryDelay)
             retryDelay = minOf(retryDelay * 2, MAX_RETRY_DELAY)
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/NodeDirectory.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/NodeDirectory.kt
@@ -14,7 +14,6 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.contentOrNull
 import kotlinx.serialization.json.intOrNull
-import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.put
 import org.bramleytrestle.store.ObjectStore
 import org.bramleytrestle.store.StoreError
@@ -29,13 +28,16 @@
     public suspend fun secret(): ByteArray {
         while (true) {
             val found = store.get(SECRETS, CURRENT).mapBoth(
-                { it.value.jsonPrimitive.contentOrNull },
+                { (it.value as? JsonPrimitive)?.contentOrNull.orEmpty() },
                 { error -> if (error == StoreError.NOT_FOUND) createSecret() else null }
             )
-            if (found != null) {
+            if (found != null && SECRET.matches(found)) {
                 ownSecret = found
                 return HexFormat.of().parseHex(found)
             }
+            if (found != null) {
+                log.error { "membership: $SECRETS/$CURRENT: expected $SECRET_BYTES bytes in hex" }
+            }
             delay(RETRY_DELAY)
         }
     }
@@ -144,6 +146,7 @@
         const val SECRETS = "peer-secrets"
         const val CURRENT = "current"
         const val SECRET_BYTES = 32
+        val SECRET = Regex("[0-9a-f]{${2 * SECRET_BYTES}}")
         const val ADDRESS = "address"
         const val DATA_CENTRE = "dataCentre"
         const val CAPACITY = "capacity"
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlacementController.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlacementController.kt
@@ -6,6 +6,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.bramleytrestle.model.LayerRange
+import org.bramleytrestle.model.guardedBlocking
 
 /**
  * Orders model servers to hold the layers that [LayerPlanner] assigns to them, while this node
@@ -80,7 +81,13 @@
         val outcomes = ConcurrentHashMap<String, Outcome>()
         runAll(
             due.map { (server, layers) ->
-                { order(state, server, layers, model)?.let { outcomes[server.id] = it } }
+                {
+                    // An order that cannot be sent must not hold up those to other servers.
+                    val sent = guardedBlocking("placement of ${server.id}") {
+                        order(state, server, layers, model)?.let { outcomes[server.id] = it }
+                    }
+                    if (!sent) outcomes[server.id] = Outcome(null, PlacementOutcome.UNKNOWN)
+                }
             }
         )
         for ((server, layers) in due) {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ReaderExchange.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ReaderExchange.kt
@@ -2,13 +2,13 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlin.time.Duration.Companion.milliseconds
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.guarded
 
 /**
  * Passes what the nodes of a data centre know of backend servers on to the others.
@@ -34,12 +34,8 @@
         while (true) {
             delay(StoreFollower.ASK_INTERVAL)
             if (!reads() || !loads.isUseful) continue
-            try {
+            guarded("exchange") {
                 coroutineScope { for (reader in nextReaders()) launch { askOne(reader) } }
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: Exception) {
-                log.error(e) { "exchange: round failed, next in ${StoreFollower.ASK_INTERVAL}" }
             }
         }
     }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestQuarantine.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestQuarantine.kt
@@ -103,9 +103,14 @@
         val earlier = unchecked.merge(server, listOf(Break(content, begun))) { a, b -> a + b }!!
         if (earlier.size > 1) return
         schedule(CHECK_DELAY) {
-            val ended = hasEnded(server)
-            val broken = unchecked.remove(server).orEmpty()
-            if (ended) broken.forEach { record(it, server) }
+            var ended = false
+            try {
+                ended = hasEnded(server)
+            } finally {
+                // A check that fails must not keep later breaks at the server from theirs.
+                val broken = unchecked.remove(server).orEmpty()
+                if (ended) broken.forEach { record(it, server) }
+            }
         }
     }
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StoreFollower.kt
@@ -5,7 +5,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
@@ -16,6 +15,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import org.bramleytrestle.model.InstanceId
+import org.bramleytrestle.model.guarded
 
 /**
  * Keeps this node's [copies] of store objects up to date with few calls to the store.
@@ -61,22 +61,11 @@
     /** Follows or reads until cancelled. */
     public suspend fun run(): Unit = coroutineScope {
         while (true) {
-            guarded("step") { step(this) }
+            guarded("store") { step(this) }
             delay(ASK_INTERVAL)
         }
     }
 
-    /** Keeps the follower alive: without it, the node's settings would age until it refuses all. */
-    private suspend fun guarded(what: String, action: suspend () -> Unit) {
-        try {
-            action()
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: Exception) {
-            log.error(e) { "store: $what failed, tried again in $ASK_INTERVAL" }
-        }
-    }
-
     /** Answers another node's question from this node's copies. */
     public fun answer(from: InstanceId, question: ByteArray): ByteArray? {
         val asked = try {
@@ -182,7 +171,7 @@
         reading?.cancel()
         readsForOthers = followed
         log.info { "store: this node reads the store, $reason" }
-        reading = scope.launch { guarded("reading") { readStore(followed) } }
+        reading = scope.launch { guarded("store") { readStore(followed) } }
         readingSince = now()
         source = null
         reads = true
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/Watchdog.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Watchdog.kt
@@ -3,6 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
+import org.bramleytrestle.model.guardedBlocking
 
 /**
  * Cancels exchanges whose deadline has passed, whose caller has disconnected or whose server has
@@ -28,10 +29,10 @@
         active -= request
     }
 
-    /** Checks every request once. */
+    /** Checks every request once; one whose check fails must not keep the others from theirs. */
     public fun check() {
         val nanos = now().monotonicNanos
-        for (request in active) request.check(nanos)
+        for (request in active) guardedBlocking("requests") { request.check(nanos) }
     }
 
     override fun close() {
@@ -43,12 +44,10 @@
         while (open) {
             try {
                 Thread.sleep(TICK.inWholeMilliseconds)
-                check()
             } catch (e: InterruptedException) {
                 if (open) log.warn { "requests: watchdog thread interrupted: $e" }
-            } catch (e: Exception) {
-                log.error(e) { "requests: watchdog check failed" }
             }
+            guardedBlocking("requests", ::check)
         }
     }
 
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/NodeDirectoryTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/NodeDirectoryTest.kt
@@ -6,7 +6,11 @@
 import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonPrimitive
 
 class NodeDirectoryTest {
@@ -39,6 +43,21 @@
         assertEquals(true, "10.0.0.2:7000" in peers)
     }
 
+    /** Guards against a node that never joins its peers because the secret was unreadable once. */
+    @Test
+    fun `a node waits for a secret that can be read`() = runTest {
+        val odd = listOf("7", "\"00\"", "\"zz\"", "null", "{}", "[]")
+        for (value in odd) {
+            val store = MemoryStore()
+            store.put("peer-secrets", "current", Json.parseToJsonElement(value))
+            val secret = async { NodeDirectory(store).secret() }
+            delay(1.seconds)
+            assertEquals(true, secret.isActive, value)
+            store.objects.clear()
+            assertEquals(32, secret.await().size, value)
+        }
+    }
+
     /** Nodes that start after the restore must find the running ones and use their secret. */
     @Test
     fun `a running node writes again what a restored store has lost`() = runTest {
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PlacementControllerTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PlacementControllerTest.kt
@@ -71,6 +71,32 @@
         }
     }
 
+    /** Guards against servers without layers because an order to another one cannot be sent. */
+    @Test
+    fun `an order that cannot be sent holds up no other order`() {
+        for (failure in listOf(IllegalArgumentException("URL"), StackOverflowError())) {
+            orders.placed.clear()
+            val failing = object : PlacementOrders by orders {
+                override fun place(
+                    server: BackendServer,
+                    layers: LayerRange,
+                    expectedOrders: Long?
+                ) = if (server.id == "a-middle-1") {
+                    throw failure
+                } else {
+                    orders.place(server, layers, expectedOrders)
+                }
+            }
+            val controller = PlacementController(failing, { holdsLease }, clock::now)
+            repeat(2) {
+                controller.step(Fleet(centre("a")), config)
+                clock.advance(2.seconds)
+            }
+            val others = centre("a").map { it.id } - "a-middle-1"
+            assertEquals(others.toSet(), orders.placed.map { it.first }.toSet(), "$failure")
+        }
+    }
+
     /** Guards against orders to a server that wants nothing for a time. */
     @Test
     fun `a server that holds requests back gets its order afterwards`() {
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/RequestQuarantineTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/RequestQuarantineTest.kt
@@ -342,6 +342,24 @@
         }
     }
 
+    /** Guards against a server whose ends are not noticed any more after one failed check. */
+    @Test
+    fun `breaks at a server are checked again after a check that failed`() {
+        val server = startServer()
+        val failures = ArrayDeque<Throwable>(listOf(IllegalArgumentException("URL")))
+        val evidence = mutableListOf<CrashEvidence>()
+        val quarantine = RequestQuarantine(
+            hasEnded = { failures.removeFirstOrNull()?.let { failure -> throw failure } ?: true },
+            schedule = { _, task -> runCatching(task) },
+            share = evidence::add,
+            now = clock::now
+        )
+        quarantine.onBroken(RequestContent(listOf("d"), "p1"), server, begun = true)
+        assertEquals(0, evidence.size)
+        quarantine.onBroken(RequestContent(listOf("d"), "p2"), server, begun = true)
+        assertEquals(listOf("p2"), evidence.map { it.request })
+    }
+
     /** Guards against a write for each request that waited at a server which ended. */
     @Test
     fun `a request that was answered soon after its server ended is not shared`() {
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/WatchdogTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/WatchdogTest.kt
@@ -31,6 +31,27 @@
         assertEquals(3, cancelled)
     }
 
+    /** Guards against requests that are never ended because the check of another one fails. */
+    @Test
+    fun `a request whose check fails keeps no other one from its deadline`() {
+        val failures = listOf(IllegalStateException("socket"), OutOfMemoryError("heap"))
+        for (failure in failures) {
+            val clock = FakeClock()
+            val watchdog = Watchdog(clock::now)
+            var cancelled = 0
+            val deadline = clock.now().monotonicNanos + 1.seconds.inWholeNanoseconds
+            repeat(10) { number ->
+                watchdog.watch(deadline) { if (number % 2 == 0) throw failure else false }
+                    .arm(exchange { cancelled++ }, clock.now().monotonicNanos, null)
+            }
+            watchdog.check()
+            assertEquals(0, cancelled)
+            clock.advance(2.seconds)
+            watchdog.check()
+            assertEquals(10, cancelled, "$failure")
+        }
+    }
+
     // Guards against a stalled stream that is not moved after capacity became free elsewhere.
     @Test
     fun `a stalled exchange is checked again until it may be cancelled`() {
--- a/store/src/main/kotlin/org/bramleytrestle/store/Lease.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/Lease.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import kotlinx.serialization.json.Json
+import org.bramleytrestle.model.guarded
 
 /**
  * A lease whose holder has the exclusive right to send orders. Time is measured only with the
@@ -88,11 +89,13 @@
     ): Nothing {
         var wasHeld = false
         while (true) {
-            if (eligible()) {
-                acquireOrRenew()
-            } else {
-                release()
-                if (isStandby()) observe()
+            guarded("lease $name") {
+                if (eligible()) {
+                    acquireOrRenew()
+                } else {
+                    release()
+                    if (isStandby()) observe()
+                }
             }
             val isHeld = remaining > Duration.ZERO
             if (isHeld != wasHeld) {
@@ -258,12 +261,27 @@
     private fun encoded(record: LeaseRecord) =
         format.encodeToJsonElement(LeaseRecord.serializer(), record)
 
-    private fun decoded(item: StoredObject) =
+    /**
+     * The record in [item]. One that cannot be read may hide a holder whose lease is valid, and the
+     * last fencing number: the lease was acquired at most once with each revision.
+     */
+    private fun decoded(item: StoredObject): LeaseRecord = try {
         format.decodeFromJsonElement(LeaseRecord.serializer(), item.value)
+    } catch (e: IllegalArgumentException) {
+        val era = StoreVersion.era(item.version)
+        log.error { "lease: name=$name record cannot be read, held by an unknown holder: $e" }
+        LeaseRecord(
+            UNKNOWN_HOLDER,
+            firstFencingNumber(era) + StoreVersion.revision(item.version),
+            duration.inWholeMilliseconds,
+            era = era
+        )
+    }
 
     private companion object {
         val log = KotlinLogging.logger {}
         const val KIND = "leases"
+        const val UNKNOWN_HOLDER = "unknown"
         const val ATTEMPTS_PER_DURATION = 4
 
         /** More than the takeovers between two returns of the store from an older copy. */
--- a/store/src/test/kotlin/org/bramleytrestle/store/LeaseTest.kt
+++ b/store/src/test/kotlin/org/bramleytrestle/store/LeaseTest.kt
@@ -1,5 +1,6 @@
 package org.bramleytrestle.store
 
+import com.github.michaelbull.result.get
 import io.kotest.property.Arb
 import io.kotest.property.PropTestConfig
 import io.kotest.property.arbitrary.int
@@ -20,6 +21,7 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.test.testTimeSource
+import kotlinx.serialization.json.Json
 
 class LeaseTest {
     private fun TestScope.lease(store: ObjectStore, holder: String) =
@@ -204,6 +206,39 @@
         assertEquals(2, restarted.ifHeld { it })
     }
 
+    // Guards against a lease that nobody ever renews or acquires again.
+    @Test
+    fun `a record that cannot be read counts as a holder that is not known`() = runTest {
+        val odd = listOf("7", "[]", "{}", "null", """{"holder":3,"fencingNumber":"x"}""")
+        for (text in odd) {
+            val store = FakeObjectStore()
+            val first = lease(store, "a")
+            repeat(3) {
+                first.acquireOrRenew()
+                first.release()
+            }
+            first.acquireOrRenew()
+            val last = checkNotNull(first.ifHeld { it })
+            val next = lease(store, "b")
+            val tasks = listOf(first, next).map { launch { it.maintain() } }
+            delay(1.seconds)
+            val record = store.get("leases", "m").get()!!
+            store.update("leases", "m", Json.parseToJsonElement(text), record.version)
+            var holders = 0
+            var highest = 0L
+            repeat(400) {
+                delay(100.milliseconds)
+                val held = listOf(first, next).mapNotNull { it.ifHeld { number -> number } }
+                assertTrue(held.size <= 1, text)
+                holders += held.size
+                highest = maxOf(highest, held.firstOrNull() ?: 0)
+            }
+            assertTrue(holders > 100, "$text: held $holders times")
+            assertTrue(highest > last, "$text: fencing number $highest after $last")
+            tasks.forEach { it.cancel() }
+        }
+    }
+
     @Test
     fun `a released lease can be acquired immediately`() = runTest {
         val store = FakeObjectStore()
