Keep a stream that pauses open until it has begun on another chain

Cause: the watchdog cancelled a stream after a pause if another chain seemed to have room. Reports of load are late, so that chain may refuse; the stream was gone by then, its chain was avoided, and after 0.5 s or four sends the answer was aborted.

Change: a stalled stream gets a second attempt (Hedge) beside it, at most one at a time, from the retry budget, on a thread of a bounded pool. Only an attempt that has its first event takes the place of the stalled one, and only if no event came from that in between, so no event is lost or comes twice. Any other end of it changes nothing for the stream. The same holds before the first event.

StreamExecutorTest, "a stalled exchange is cancelled only if a chain with another first server is usable", demanded the fault: it cancelled for a chain that had not taken the stream. It is replaced by "a stream that pauses stays open until it has begun on another chain": its five cases, and refusals, failures and errors elsewhere, before and after the first event, with the events that callers get.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/ActiveRequest.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/ActiveRequest.kt
@@ -52,6 +52,12 @@
         exchange = null
     }
 
+    /** Cancels [exchange] as stalled, unless it has ended or another one has taken its place. */
+    @Synchronized
+    internal fun cancelStalled(exchange: Cancellable) {
+        if (this.exchange === exchange) cancel(CancelCause.STALLED)
+    }
+
     internal fun check(nowNanos: Long) {
         val stallDeadline = stallDeadlineNanos.get()
         val cause = when {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
@@ -22,7 +22,11 @@
 ) {
     /** Concurrent because the watchdog thread reads it when it decides on a stalled exchange. */
     private val servers: MutableSet<String> = ConcurrentHashMap.newKeySet()
+
+    @Volatile
     private var sends = 0
+
+    @Volatile
     private var connectFailures = 0
 
     /** Whether a retry was taken from the budget before the stalled attempt was cancelled. */
@@ -32,11 +36,13 @@
     /** Whether a server could take the request, but the retry budget did not allow it. */
     private var retryDenied = false
 
+    @Volatile
     var mayHaveRun = false
         private set
 
     /** A server error response, returned to the caller if no other attempt succeeds. */
     private var serverError: ServerReply.Complete? = null
+    @Volatile
     var lastReason = "no server is ready"
 
     /** Time until a server that holds back this node's requests accepts one; null if none does. */
@@ -89,7 +95,13 @@
     fun reserveRetry(reserve: Double = 0.0): Boolean =
         budgets.tryRetry(task.service.name, reserve).also { retryReserved = it }
 
-    /** Records the result of an attempt at [server]. */
+    /** Takes an attempt beside the current one from the budget, if one more is left after it. */
+    fun acquireHedge(reserve: Double): Boolean = withheldAs == null &&
+        sends + 2 < task.route.maxServers * SENDS_PER_SERVER &&
+        budgets.tryRetry(task.service.name, reserve)
+
+    /** Records the result of an attempt at [server]; concurrent attempts end in any order. */
+    @Synchronized
     fun record(server: BackendServer, answer: ServerReply) {
         if (answer is ServerReply.NotRun && !answer.reached) {
             connectFailures++
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestTrace.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestTrace.kt
@@ -18,14 +18,22 @@
     public var route: String? = null
     public var organisation: String? = null
 
-    public val attemptLog: String get() = attempts.toString()
+    public val attemptLog: String @Synchronized get() = attempts.toString()
 
+    @Synchronized
     public fun attempt(target: String, load: String) {
         if (attempts.isNotEmpty()) attempts.append(" | ")
         attempts.append(target).append(" load=").append(load)
     }
 
+    @Synchronized
     public fun result(text: String) {
         attempts.append(" -> ").append(text)
     }
+
+    /** Records a second attempt that was made while another one was still open. */
+    @Synchronized
+    public fun hedge(target: String, result: String) {
+        attempts.append(" [hedge ").append(target).append(" -> ").append(result).append(']')
+    }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -8,8 +8,8 @@
 
 /**
  * Executes streaming requests on chains of model servers. If the route is resumable, a stream that
- * is interrupted or stalls resumes on another chain after its last complete event, within the same
- * response to the caller.
+ * is interrupted resumes on another chain after its last complete event, within the same response to
+ * the caller. One that stalls stays open until it has begun on another chain.
  */
 public class StreamExecutor(
     private val selector: ServerSelector,
@@ -20,12 +20,23 @@
     private val quarantine: RequestQuarantine,
     private val now: () -> Moment = Moment::now,
     onAdmission: (service: String, Place, Duration) -> Unit = { _, _, _ -> },
-    await: (Place, Duration) -> Unit = Place::await
+    await: (Place, Duration) -> Unit = Place::await,
+    private val startHedge: (task: () -> Unit) -> Boolean = HedgeThreads()::start
 ) {
     private val admission = ChainAdmission(selector, now, onAdmission, await)
     private val firstEventTimeout = AdaptiveTimeout(MAX_FIRST_EVENT_TIMEOUT, now)
     private val nextEventTimeout = AdaptiveTimeout(MAX_EVENT_TIMEOUT, now)
 
+    private enum class Acceptance {
+        NEXT,
+
+        /** The caller has the event already. */
+        REPEATED,
+
+        /** The stream goes on with a hedge that had begun before the event came. */
+        SUPERSEDED
+    }
+
     /** State of one stream across its attempts. */
     private class Progress(task: RequestTask, val attempts: AttemptTracker) {
         /** Labels of chains that got the request. Concurrent because the watchdog reads it. */
@@ -37,11 +48,37 @@
         /** Ids of the first servers of chains on which the stream stalled. */
         val stalled = mutableSetOf<String>()
 
-        /** Number of the last event that the caller received. */
+        /** Number of the last event that the caller received; guarded by this. */
         var lastEvent = task.request.lastEvent
 
         /** Whether the caller received the head of the response. */
+        @Volatile
         var begun = false
+
+        /** The last attempt beside a stalled one; guarded by this. */
+        var hedge: Hedge? = null
+
+        /** The hedge that has begun or may begin; the caller has no event after its start. */
+        @Synchronized
+        fun takeHedge(): Hedge? = hedge?.takeUnless { it.isEnded }.also { hedge = null }
+
+        /**
+         * Decides on [event], or on the end of the stream, and gives the hedge up unless its stream
+         * has begun and goes on from here. Throws if events were skipped.
+         */
+        @Synchronized
+        fun accept(event: StreamEvent?): Acceptance {
+            if (hedge?.drop() == false) return Acceptance.SUPERSEDED
+            hedge = null
+            val number = event?.number ?: return Acceptance.NEXT
+            val last = lastEvent
+            if (last != null && number <= last) return Acceptance.REPEATED
+            if (last != null && number > last + 1) {
+                throw IOException("events missing: got $number after $last")
+            }
+            lastEvent = number
+            return Acceptance.NEXT
+        }
     }
 
     /** Number of streams that wait for room. */
@@ -56,7 +93,13 @@
         try {
             budgets.countFirst(task.service.name)
             progress.attempts.lastReason = "no chain covers the model"
-            while (progress.attempts.canAttempt(progress.begun)) {
+            while (true) {
+                val hedge = progress.takeHedge()
+                if (hedge != null && awaitHedge(hedge, active)) {
+                    adopt(task, hedge, progress, active)?.let { return it }
+                    continue
+                }
+                if (!progress.attempts.canAttempt(progress.begun)) break
                 val choice = chooseChain(task, progress, active) ?: break
                 if (!progress.attempts.acquire(retryReserve(progress))) {
                     selector.load(choice.chain.first).ended()
@@ -69,10 +112,100 @@
             if (progress.begun && e !is CallerReply.CallerDisconnectedException) task.reply.abort()
             throw e
         } finally {
+            progress.takeHedge()?.abandon()
             watchdog.unwatch(active)
         }
     }
 
+    private fun awaitHedge(hedge: Hedge, active: ActiveRequest): Boolean {
+        active.arm({ hedge.drop() }, now().monotonicNanos, null)
+        return try {
+            hedge.await()
+        } finally {
+            active.disarm()
+        }
+    }
+
+    /** Goes on with a stream that has begun while an earlier one was stalled. */
+    private fun adopt(
+        task: RequestTask,
+        hedge: Hedge,
+        progress: Progress,
+        active: ActiveRequest
+    ): RequestOutcome? {
+        val stream = checkNotNull(hedge.stream)
+        try {
+            active.arm(hedge.exchange, now().monotonicNanos, null) {
+                hedge(task, hedge.chain, hedge.exchange, progress, active)
+                false
+            }
+            return relay(task, stream, hedge.chain, progress, active)
+        } finally {
+            active.disarm()
+            hedge.close()
+        }
+    }
+
+    /**
+     * Starts a second attempt at the stream that is stalled on [chain], if another chain has room.
+     * Called by the watchdog while the stream is stalled.
+     */
+    private fun hedge(
+        task: RequestTask,
+        chain: Chain,
+        stalled: ServerExchange,
+        progress: Progress,
+        active: ActiveRequest
+    ): Unit = synchronized(progress) {
+        if (progress.hedge?.isEnded == false) return
+        val other = chainElsewhere(task, chain, progress) ?: return
+        if (!progress.attempts.acquireHedge(retryReserve(progress))) return
+        if (!selector.takeFirst(other)) return
+        stalls.onStall(chain)
+        progress.tried += other.label
+        val load = selector.load(other.first)
+        val exchange = client.open(serverCall(task, other, progress))
+        val hedge = Hedge(other, exchange, load)
+        load.started()
+        progress.hedge = hedge
+        val started = startHedge {
+            hedge.run(
+                onReply = { reply, dropped -> settleHedge(task, hedge, reply, dropped, progress) },
+                onBegun = { active.cancelStalled(stalled) }
+            )
+        }
+        if (!started) {
+            progress.hedge = null
+            progress.tried -= other.label
+            hedge.close()
+        }
+    }
+
+    private fun settleHedge(
+        task: RequestTask,
+        hedge: Hedge,
+        reply: ServerReply,
+        dropped: Boolean,
+        progress: Progress
+    ) {
+        progress.attempts.record(hedge.chain.first, reply)
+        when (reply) {
+            is ServerReply.Stream -> task.trace.hedge(hedge.chain.label, "begun")
+            is ServerReply.Complete ->
+                task.trace.hedge(hedge.chain.label, "status ${reply.status}")
+            is ServerReply.NotRun -> {
+                task.trace.hedge(hedge.chain.label, "not run: ${reply.reason}")
+                avoidAfterRefusal(reply, hedge.chain)
+            }
+            is ServerReply.Failed -> {
+                task.trace.hedge(hedge.chain.label, if (dropped) "dropped" else reply.reason)
+                if (dropped) return
+                selector.chainFailed(hedge.chain)
+                quarantine.onBroken(task.request.content, hedge.chain.first, begun = false)
+            }
+        }
+    }
+
     /** A caller whose answer has begun loses what it has; others can be told to return. */
     private fun retryReserve(progress: Progress) = if (progress.begun) 0.0 else BEGUN_RESERVE
 
@@ -105,20 +238,8 @@
         progress.tried += chain.label
         val load = selector.load(chain.first)
         task.trace.attempt(chain.label, "${load.estimate}/${chain.capacity}")
-        val call = ServerCall(
-            task.request,
-            chain.first,
-            stream = true,
-            remaining = attempts.remaining,
-            chain = chain,
-            organisation = task.organisation?.name,
-            urgency = task.urgency,
-            lastEvent = progress.lastEvent,
-            load = load,
-            resent = attempts.hasReached(chain.first)
-        )
         val exchange = try {
-            client.open(call)
+            client.open(serverCall(task, chain, progress))
         } catch (e: Exception) {
             load.ended()
             throw e
@@ -127,10 +248,9 @@
             val sentAt = now()
             val stallTimeout = firstEventTimeout.timeout(MIN_FIRST_EVENT_TIMEOUT)
                 .takeIf { task.route.resumable && !attempts.onLastServer }
-            // Streams of a chain stall together, so each reserves its retry before cancelling.
             active.arm(exchange, sentAt.monotonicNanos, stallTimeout) {
-                hasCapacityElsewhere(task, chain, progress) &&
-                    attempts.reserveRetry(retryReserve(progress))
+                hedge(task, chain, exchange, progress, active)
+                false
             }
             val answer = exchange.await()
             val stalled = active.cancelCause == CancelCause.STALLED
@@ -146,6 +266,19 @@
         }
     }
 
+    private fun serverCall(task: RequestTask, chain: Chain, progress: Progress) = ServerCall(
+        task.request,
+        chain.first,
+        stream = true,
+        remaining = progress.attempts.remaining,
+        chain = chain,
+        organisation = task.organisation?.name,
+        urgency = task.urgency,
+        lastEvent = progress.lastEvent,
+        load = selector.load(chain.first),
+        resent = progress.attempts.hasReached(chain.first)
+    )
+
     private fun settle(
         task: RequestTask,
         answer: ServerReply,
@@ -176,6 +309,10 @@
 
     private fun recordNotRun(task: RequestTask, answer: ServerReply.NotRun, chain: Chain) {
         task.trace.result("not run: ${answer.reason} at=${answer.faultyAddress}")
+        avoidAfterRefusal(answer, chain)
+    }
+
+    private fun avoidAfterRefusal(answer: ServerReply.NotRun, chain: Chain) {
         val faulty = answer.faultyAddress
         when {
             faulty != null -> selector.stageFailed(chain, faulty)
@@ -206,14 +343,20 @@
                 val stallTimeout = nextEventTimeout.timeout(minEventTimeout(task.route))
                     .takeIf { task.route.resumable && progress.attempts.canUseNewServer }
                 active.progress(waitStart.monotonicNanos, stallTimeout)
-                val event = events.next() ?: break
+                val event = events.next()
                 val wait = now().since(waitStart)
                 nextEventTimeout.record(wait)
                 longest = maxOf(longest, wait)
                 active.progress(now().monotonicNanos, null)
-                if (!isNext(event, progress)) continue
+                val acceptance = progress.accept(event)
+                if (acceptance == Acceptance.SUPERSEDED) {
+                    task.trace.result("stalled after $count events, longest pause $longest")
+                    progress.stalled += chain.first.id
+                    return null
+                }
+                if (event == null) break
+                if (acceptance == Acceptance.REPEATED) continue
                 task.reply.event(event)
-                progress.lastEvent = event.number ?: progress.lastEvent
                 if (++count == RequestQuarantine.BEGINNING_EVENTS) {
                     quarantine.onAnswered(task.request.content)
                 }
@@ -240,26 +383,15 @@
         return RequestOutcome.answered("stream")
     }
 
-    /** False for an event that was already forwarded; throws if events were skipped. */
-    private fun isNext(event: StreamEvent, progress: Progress): Boolean {
-        val number = event.number ?: return true
-        val last = progress.lastEvent ?: return true
-        if (number <= last) return false
-        if (number > last + 1) throw IOException("events missing: got $number after $last")
-        return true
-    }
-
     /**
-     * Whether a chain with another first server has capacity. If only one of several chains is
-     * left, it is slow because it carries all streams, and moving them between its servers slows
-     * it further.
+     * A chain with another first server that has capacity. If only one of several chains is left,
+     * it is slow because it carries all streams, and moving them between its servers slows it
+     * further.
      */
-    private fun hasCapacityElsewhere(task: RequestTask, chain: Chain, progress: Progress): Boolean {
-        val choice = selector.chain(task.service, progress.tried) { first ->
+    private fun chainElsewhere(task: RequestTask, chain: Chain, progress: Progress): Chain? =
+        selector.chain(task.service, progress.tried) { first ->
             first.id != chain.first.id && progress.attempts.allows(first)
-        }
-        return choice != null && choice.healthy && choice.utilisation <= ChainAdmission.FULL
-    }
+        }?.takeIf { it.healthy && it.utilisation <= ChainAdmission.FULL }?.chain
 
     /** Stall timeout that lets another chain send its first event within [Route.maxEventGap]. */
     private fun minEventTimeout(route: Route): Duration {
@@ -282,10 +414,7 @@
         progress.attempts.lastReason = reason
         when (cause) {
             null -> selector.chainFailed(chain)
-            CancelCause.STALLED -> {
-                progress.stalled += chain.first.id
-                stalls.onStall(chain)
-            }
+            CancelCause.STALLED -> progress.stalled += chain.first.id
             CancelCause.DEADLINE, CancelCause.DEPARTED -> Unit
         }
         return task.route.resumable && (cause == null || cause == CancelCause.STALLED)
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -209,14 +209,42 @@
         }
     }
 
-    /** Never answers; records whether the exchange was cancelled. */
-    private class StallingClient(private val stall: () -> Unit) : ServerClient {
+    /**
+     * The first server sends [before] events and then falls silent for a while in which the watchdog
+     * checks its request; it sends the rest, unless it has been cancelled by then.
+     */
+    private class PausingClient(
+        private val before: Int,
+        private val elsewhere: ServerReply,
+        private val onPause: () -> Unit
+    ) : ServerClient {
+        val calls = mutableListOf<ServerCall>()
         var cancelled = false
+        var elsewhereClosed = 0
+
+        override fun open(call: ServerCall): ServerExchange {
+            calls += call
+            return if (calls.size == 1) FirstExchange() else OtherExchange()
+        }
+
+        private inner class FirstExchange : ServerExchange {
+            private var sent = 0L
+            private var paused = false
 
-        override fun open(call: ServerCall) = object : ServerExchange {
             override fun await(): ServerReply {
-                stall()
-                return ServerReply.Failed("stalled")
+                if (before == 0) pause()
+                return if (cancelled) ServerReply.Failed("cancelled") else stream()
+            }
+
+            private fun stream() = ServerReply.Stream(200, emptyList()) {
+                if (sent == before.toLong() && !paused) pause()
+                if (cancelled) throw java.io.IOException("cancelled")
+                if (sent < EVENTS) StreamEvent(++sent, ByteArray(0)) else null
+            }
+
+            private fun pause() {
+                paused = true
+                onPause()
             }
 
             override fun cancel() {
@@ -225,45 +253,63 @@
 
             override fun close() = Unit
         }
+
+        private inner class OtherExchange : ServerExchange {
+            override fun await() = elsewhere
+
+            override fun cancel() = Unit
+
+            override fun close() {
+                elsewhereClosed++
+            }
+        }
     }
 
-    private data class StallCase(
+    private data class PauseCase(
         val name: String,
-        val cancelled: Boolean,
+        val expected: String,
+        val elsewhere: ServerReply = events(3..4L),
+        val before: Int = 2,
+        val asked: Int = 1,
+        val cancelled: Boolean = false,
         val allowed: Int = 2,
         val slack: Int = 10,
         val otherLoad: Int = 0,
-        val centres: List<String> = listOf("a", "b")
+        val centres: List<String> = listOf("a", "b"),
+        val hasThread: Boolean = true
     )
 
-    private fun cancelsStalled(case: StallCase): Boolean {
+    private fun runPaused(case: PauseCase): Pair<PausingClient, List<String>> {
         val clock = FakeClock()
         val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
         val known = servers("a", "b", "c").filter { it.dataCentre in case.centres }
         selector.update(Fleet(known))
         val watchdog = Watchdog(clock::now)
-        val client = StallingClient {
-            clock.advance(1.5.seconds)
-            known.filter { it.id == "b-1" }
-                .forEach { selector.load(it).reported(case.otherLoad, 0) }
-            watchdog.check()
+        val client = PausingClient(case.before, case.elsewhere) {
+            repeat(3) {
+                clock.advance(1.5.seconds)
+                known.filter { it.id == "b-1" }
+                    .forEach { selector.load(it).reported(case.otherLoad, 0) }
+                watchdog.check()
+            }
         }
         val stalls = StallInspector(selector, { null }, { _, task -> task() }, clock::now)
-        val budgets = establishedBudgets(0.0, case.slack)
+        val reply = RecordedReply()
         val executor = StreamExecutor(
             selector,
             client,
-            budgets,
+            establishedBudgets(0.0, case.slack),
             watchdog,
             stalls,
             emptyQuarantine(),
             clock::now,
-            await = { _, span -> clock.advance(span) }
+            await = { _, span -> clock.advance(span) },
+            startHedge = { task -> case.hasThread.also { if (it) task() } }
         )
         executor.run(
             RequestTask(
                 request(at = clock.now()),
-                RecordedReply(),
+                reply,
                 route(RequestKind.STREAM, servers = case.allowed, resumable = true),
                 BackendService("model", model.copy(layerMegabytes = 500.0)),
                 null,
@@ -271,20 +317,56 @@
                 RequestTrace("r1", 1, null)
             )
         )
-        return client.cancelled
+        return client to reply.got
     }
 
-    // Guards against aborting streams on the last usable chain when it is only slow under load.
+    /**
+     * Guards against answers that end unfinished because their server paused and no other one took
+     * them, against aborting streams on the last usable chain when it is only slow under load, and
+     * against an event that is lost or comes twice when a stream goes on elsewhere.
+     */
     @Test
-    fun `a stalled exchange is cancelled only if a chain with another first server is usable`() {
+    fun `a stream that pauses stays open until it has begun on another chain`() {
+        val whole = "begin,event 1,event 2,event 3,event 4,end"
+        val refusal = ServerReply.NotRun("status 503", reached = true)
         val cases = listOf(
-            StallCase("another chain has capacity", cancelled = true),
-            StallCase("no server is left", cancelled = false, allowed = 1),
-            StallCase("the retry budget is empty", cancelled = false, slack = 0),
-            StallCase("the other chain is full", cancelled = false, otherLoad = 200),
-            StallCase("there is no other chain", cancelled = false, centres = listOf("a"))
+            PauseCase("has begun elsewhere", whole, cancelled = true),
+            PauseCase("refused elsewhere", whole, elsewhere = refusal),
+            PauseCase("failed elsewhere", whole, elsewhere = ServerReply.Failed("reset")),
+            PauseCase(
+                "ended elsewhere before an event",
+                whole,
+                elsewhere = events(LongRange.EMPTY, interrupted = true)
+            ),
+            PauseCase(
+                "an error elsewhere",
+                whole,
+                elsewhere = ServerReply.Complete(500, emptyList(), ByteArray(0))
+            ),
+            PauseCase(
+                "has begun elsewhere before the first event",
+                whole,
+                elsewhere = events(1..4L),
+                before = 0,
+                cancelled = true
+            ),
+            PauseCase("refused before the first event", whole, refusal, before = 0),
+            PauseCase("no server is left", whole, asked = 0, allowed = 1),
+            PauseCase("the retry budget is empty", whole, asked = 0, slack = 0),
+            PauseCase("the other chain is full", whole, asked = 0, otherLoad = 200),
+            PauseCase("there is no other chain", whole, asked = 0, centres = listOf("a")),
+            PauseCase("no thread is free", whole, hasThread = false, asked = 3)
         )
-        for (case in cases) assertEquals(case.cancelled, cancelsStalled(case), case.name)
+        for (case in cases) {
+            val (client, got) = runPaused(case)
+            assertEquals(case.expected, got.joinToString(","), case.name)
+            assertEquals(case.asked, client.calls.size - 1, case.name)
+            assertEquals(case.cancelled, client.cancelled, case.name)
+            assertEquals(case.asked, client.elsewhereClosed, case.name)
+            for (call in client.calls.drop(1)) {
+                assertEquals(case.before.toLong().takeIf { it > 0 }, call.lastEvent, case.name)
+            }
+        }
     }
 
     private data class CrashCase(
@@ -354,4 +436,8 @@
             assertEquals(case.broken, broken, case.name)
         }
     }
+
+    private companion object {
+        const val EVENTS = 4
+    }
 }
