End streams of services without layers at their deadline

Cause: PlainExecutor.attempt disarmed the watchdog as soon as the head of the answer was there, and relayed the stream without a deadline and without a look whether the caller was still there.

Change: the watchdog watches the exchange until the stream has ended. The server's load counts the stream for as long, where it counted only the head.

PlainExecutorTest, "a stream that falls silent ends at its deadline or when its caller leaves", failed before: the stream ran on after its deadline.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/PlainExecutor.kt
@@ -61,18 +61,17 @@
         )
         val exchange = client.open(call)
         load.started()
-        val answer = try {
+        try {
             val stallTimeout = stallTimeout(task, attempts)
             active.arm(exchange, now().monotonicNanos, stallTimeout, attempts::reserveRetry)
-            exchange.await()
-        } finally {
-            active.disarm()
-            load.ended()
-        }
-        try {
+            val answer = exchange.await()
+            active.progress(now().monotonicNanos, null)
             attempts.record(server, answer)
             return settle(task, answer, server, attempts, active)
         } finally {
+            // A stream goes on after its head, and so do the deadline and the look for the caller.
+            active.disarm()
+            load.ended()
             exchange.close()
         }
     }
@@ -143,7 +142,11 @@
                 quarantine.onBroken(task.request.content, server, begun = true)
             }
             task.reply.abort()
-            return RequestOutcome.failed(ErrorKind.BACKEND_FAILED, "stream interrupted: $e")
+            val late = active.cancelCause == CancelCause.DEADLINE
+            return RequestOutcome.failed(
+                if (late) ErrorKind.DEADLINE_EXCEEDED else ErrorKind.BACKEND_FAILED,
+                "stream interrupted: $e ${active.cancelCause ?: ""}"
+            )
         }
         quarantine.onAnswered(task.request.content)
         task.reply.endStream()
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/PlainExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/PlainExecutorTest.kt
@@ -1,7 +1,9 @@
 package org.bramleytrestle.serving
 
+import java.io.IOException
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 class PlainExecutorTest {
@@ -81,6 +83,82 @@
         }
     }
 
+    private data class SilentCase(
+        val name: String,
+        val silence: Duration,
+        val leaves: Boolean = false,
+        val expected: List<String>
+    )
+
+    /** Guards against streams that hold their caller and a thread for good (GONE, CONFIG). */
+    @Test
+    fun `a stream that falls silent ends at its deadline or when its caller leaves`() {
+        val cut = listOf("begin", "event 1", "abort")
+        val cases = listOf(
+            SilentCase("until after the deadline", 21.seconds, expected = cut),
+            SilentCase("until the caller left", 3.seconds, leaves = true, expected = cut),
+            SilentCase("for a while", 3.seconds, expected = cut.dropLast(1) + "event 2" + "end")
+        )
+        for (case in cases) {
+            val clock = FakeClock()
+            val selector = ServerSelector("a", ServerLoads(clock::now), clock::now)
+            selector.update(Fleet(listOf(plainServer("x"))))
+            val watchdog = Watchdog(clock::now)
+            var silent = false
+            var runningMeanwhile = -1
+            val client = ServerClient {
+                SilentExchange {
+                    silent = true
+                    clock.advance(case.silence)
+                    runningMeanwhile = selector.load(plainServer("x")).estimate
+                    watchdog.check()
+                }
+            }
+            val reply = RecordedReply()
+            val executor = PlainExecutor(
+                selector,
+                client,
+                establishedBudgets(1.0, 10),
+                watchdog,
+                emptyQuarantine(),
+                clock::now
+            )
+            executor.run(
+                RequestTask(
+                    request(at = clock.now(), disconnected = { silent && case.leaves }),
+                    reply,
+                    route(RequestKind.STREAM),
+                    BackendService("desk"),
+                    null,
+                    20.seconds,
+                    RequestTrace("r1", 1, null)
+                )
+            )
+            assertEquals(case.expected, reply.got, case.name)
+            assertEquals(1, runningMeanwhile, "${case.name}: load while the stream runs")
+            assertEquals(0, watchdog.count, case.name)
+            assertEquals(0, selector.load(plainServer("x")).estimate, case.name)
+        }
+    }
+
+    /** Sends one event, falls silent, and sends the second one unless it has been cancelled. */
+    private class SilentExchange(private val onSilence: () -> Unit) : ServerExchange {
+        private var sent = 0L
+        private var cancelled = false
+
+        override fun await() = ServerReply.Stream(200, emptyList()) {
+            if (sent == 1L) onSilence()
+            if (cancelled) throw IOException("cancelled")
+            if (sent < 2) StreamEvent(++sent, ByteArray(0)) else null
+        }
+
+        override fun cancel() {
+            cancelled = true
+        }
+
+        override fun close() = Unit
+    }
+
     /** Guards against crashes that are not related to their prompts on services without layers. */
     @Test
     fun `a connection that breaks at the beginning of an answer is reported with its prompt`() {
