Pass on only sound answers, checked byte by byte

Reproduced on the code before by SoundAnswerTest, five of its six tests: - "200 do" for the upload, at the first try. The write that fails takes the error of the reset with it; the next read then sees an ordinary end. - OkHttp reads a length that is no number as none, another transfer coding than `chunked` as none, both at once as chunks, skips what follows a chunk up to the line end, reads trailers that are no fields, and any three characters that parse as a number as a status. - Two heads ended the request's thread: status -20 (IllegalStateException) and length -4 (IllegalArgumentException) are no IOException.

Cause: what is sound was left to a lenient parser, with cases excluded by hand.

Change: the rule is written down (AnswerHead) and applied to the bytes themselves (AnswerBytes, in the new module `http`): status line, field names and values, one length or `chunked` or neither, chunks with exact sizes, trailers, CR LF, and an end that is the body's end, or an ordinary close after a request that was sent as a whole. Anything else fails the call, at whatever moment it comes. Bytes behind an answer are noticed before the next request is sent. The clients for backend servers, reports, orders and stores of both nodes and bramleyctl use it; over TLS the head is checked as OkHttp has read it. An answer with two seals, or with a content coding that its caller did not ask for, is a failure too. A report that is no sound answer no longer counts as the end of its server. Peers talk in frames with a length and are not concerned.

SingleHeadInterceptor and LineLimitSocketFactory are gone: the rule covers both. SingleHeadInterceptorTest has moved, with all its cases, for both ways of checking. SoundAnswerTest passes now; MixedHeadTest, CutHeadTest, UnframedAnswerTest and EndlessAnswerTest pass unchanged.

--- a/backend/src/main/kotlin/org/bramleytrestle/backend/HttpPools.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/HttpPools.kt
@@ -7,6 +7,8 @@
 import okhttp3.ConnectionPool
 import okhttp3.Dispatcher
 import okhttp3.OkHttpClient
+import org.bramleytrestle.http.SoundAnswerInterceptor
+import org.bramleytrestle.http.SoundSocketFactory
 
 /**
  * HTTP clients with one connection pool per address, so that the connections to an unresponsive
@@ -36,7 +38,8 @@
         .connectTimeout(options.connectTimeout.toJavaDuration())
         .readTimeout(0, TimeUnit.SECONDS)
         .addNetworkInterceptor(RetryAfterInterceptor)
-        .addNetworkInterceptor(SingleHeadInterceptor)
+        .addNetworkInterceptor(SoundAnswerInterceptor)
+        .socketFactory(SoundSocketFactory)
         .eventListenerFactory { call ->
             call.request().tag(SendRecord::class.java) ?: SendRecord()
         }
--- a/ctl/src/main/kotlin/org/bramleytrestle/ctl/NodeApi.kt
+++ b/ctl/src/main/kotlin/org/bramleytrestle/ctl/NodeApi.kt
@@ -17,6 +17,8 @@
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import org.bramleytrestle.settings.Change
+import org.bramleytrestle.http.SoundAnswerInterceptor
+import org.bramleytrestle.http.SoundSocketFactory
 import org.bramleytrestle.settings.EffectiveValue
 import org.bramleytrestle.settings.SettingsDifference
 
@@ -28,6 +30,8 @@
     private val client = OkHttpClient.Builder()
         .callTimeout(CALL_TIMEOUT_SECONDS, TimeUnit.SECONDS)
         .retryOnConnectionFailure(false)
+        .addNetworkInterceptor(SoundAnswerInterceptor)
+        .socketFactory(SoundSocketFactory)
         .build()
 
     fun settings(): SettingsView = get(SettingsView.serializer(), url("settings"))
--- a/backend/src/test/kotlin/org/bramleytrestle/backend/SingleHeadInterceptorTest.kt
+++ b/http/src/test/kotlin/org/bramleytrestle/http/SoundAnswerInterceptorTest.kt
@@ -1,4 +1,4 @@
-package org.bramleytrestle.backend
+package org.bramleytrestle.http
 
 import java.net.ServerSocket
 import kotlin.concurrent.thread
@@ -8,16 +8,18 @@
 import okhttp3.OkHttpClient
 import okhttp3.Request
 
-class SingleHeadInterceptorTest {
+class SoundAnswerInterceptorTest {
     private val listener = ServerSocket(0)
-    private val client = OkHttpClient.Builder().addNetworkInterceptor(SingleHeadInterceptor).build()
+    private val parsed =
+        OkHttpClient.Builder().addNetworkInterceptor(SoundAnswerInterceptor).build()
+    private val checked = parsed.newBuilder().socketFactory(SoundSocketFactory).build()
 
     @AfterTest
     fun close() {
         listener.close()
     }
 
-    private fun receive(head: String): String {
+    private fun receive(client: OkHttpClient, head: String): String {
         thread(isDaemon = true) {
             listener.accept().use {
                 it.getInputStream().read(ByteArray(8_192))
@@ -27,7 +29,7 @@
         val request = Request.Builder().url("http://127.0.0.1:${listener.localPort}/").build()
         return try {
             client.newCall(request).execute().use { "${it.code}" }
-        } catch (_: ForeignBytesException) {
+        } catch (_: UnsoundAnswerException) {
             "failed"
         }
     }
@@ -52,6 +54,9 @@
             "HTTP/1.1 200 OK\r\n: value" to "failed",
             "HTTP/1.1 200 OK\r\nX Y: value" to "failed"
         )
-        for ((head, expected) in cases) assertEquals(expected, receive(head), head)
+        for ((head, expected) in cases) {
+            assertEquals(expected, receive(checked, head), head)
+            assertEquals(expected, receive(parsed, head), "$head, as OkHttp has read it")
+        }
     }
 }
--- a/store/src/main/kotlin/org/bramleytrestle/store/StoreHttpClient.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/StoreHttpClient.kt
@@ -25,6 +25,8 @@
 import okhttp3.RequestBody
 import okhttp3.Response
 import okio.BufferedSink
+import org.bramleytrestle.http.SoundAnswerInterceptor
+import org.bramleytrestle.http.SoundSocketFactory
 
 /**
  * Sends each call to the object API once and reports whether a call without a response may have
@@ -56,6 +58,8 @@
         .addNetworkInterceptor { chain ->
             chain.proceed(chain.request()).newBuilder().removeHeader("Retry-After").build()
         }
+        .addNetworkInterceptor(SoundAnswerInterceptor)
+        .socketFactory(SoundSocketFactory)
         .eventListenerFactory { call -> call.request().tag(WriteProgress::class.java)!! }
         .apply { if (cleartextOnly) connectionSpecs(listOf(ConnectionSpec.CLEARTEXT)) }
         .connectionPool(pool)
