Bound what a peer that never stops may make a node keep

Callers saw (other operators): bytes without end in a head or a body were kept until the caller of the machine closed; it ran out of memory, and the requests of other clients ended with it.

Here: a body of an answer was bounded to 4 MB, but hundreds of requests are in flight, so that one faulty server could fill the heap; reports, orders, the answers of stores and of the product's own backend servers were read whole, whatever their size; a list of the store whose pages repeat was read for ever; frames of peers waited in a queue without a bound.

The bound for frames of peers has no test of its own.

--- a/backend/src/main/kotlin/org/bramleytrestle/backend/EngineCalls.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/EngineCalls.kt
@@ -12,6 +12,7 @@
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.Response
+import org.bramleytrestle.http.boundedText
 import org.bramleytrestle.model.StageHop
 
 /** Non-streaming calls to engines, shared by runners, health probes and [EngineControl]. */
@@ -55,7 +56,7 @@
         decode: (String) -> T
     ): Result<T, HopFailure> = try {
         call.await { response ->
-            val text = response.body.string()
+            val text = response.boundedText(MAX_BODY_BYTES)
             if (response.isSuccessful) {
                 Ok(decode(text))
             } else {
@@ -67,4 +68,9 @@
     } catch (e: IllegalArgumentException) {
         Err(HopFailure.MISMATCH)
     }
+
+    companion object {
+        /** Several times the largest list of cache events. */
+        const val MAX_BODY_BYTES = 2L * 1024 * 1024
+    }
 }
--- a/backend/src/main/kotlin/org/bramleytrestle/backend/EngineForwardedChainRunner.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/EngineForwardedChainRunner.kt
@@ -17,6 +17,7 @@
 import okhttp3.Callback
 import okhttp3.Request
 import okhttp3.Response
+import org.bramleytrestle.http.boundedText
 import org.bramleytrestle.model.InstanceId
 import org.bramleytrestle.model.Invariants
 import org.bramleytrestle.model.LayerRange
@@ -95,7 +96,7 @@
 
         private fun readEvents(response: Response) {
             if (!response.isSuccessful) {
-                fail(first, failureFromResponse(response.code, response.body.string()))
+                fail(first, failureFromResponse(response.code, response.boundedText(EngineCalls.MAX_BODY_BYTES)))
                 return
             }
             val events = SseReader(response.body.source())
--- a/backend/src/main/kotlin/org/bramleytrestle/backend/HttpEngineControl.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/HttpEngineControl.kt
@@ -4,6 +4,7 @@
 import java.io.IOException
 import kotlin.time.Duration
 import okhttp3.Request
+import org.bramleytrestle.http.boundedText
 import org.bramleytrestle.model.LoadReport
 import org.bramleytrestle.model.RequestId
 
@@ -83,7 +84,7 @@
         read: (status: Int, body: String) -> T
     ): T? = try {
         pools.client(address).newCall(request).callTimeout(timeout)
-            .await { read(it.code, it.body.string()) }
+            .await { read(it.code, it.boundedText(EngineCalls.MAX_BODY_BYTES)) }
     } catch (e: IOException) {
         if (e.isTimeout()) pools.evict(address)
         null
--- a/backend/src/main/kotlin/org/bramleytrestle/backend/SseReader.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/SseReader.kt
@@ -1,6 +1,8 @@
 package org.bramleytrestle.backend
 
 import okio.BufferedSource
+import org.bramleytrestle.http.OversizedBodyException
+import org.bramleytrestle.http.boundedLine
 
 /** Parses server-sent events. Skips comments and fields other than `event` and `data`. */
 internal class SseReader(private val source: BufferedSource) {
@@ -11,7 +13,10 @@
         var name = ""
         val data = StringBuilder()
         while (true) {
-            val line = source.readUtf8Line() ?: return null
+            val line = source.boundedLine(MAX_EVENT_BYTES) ?: return null
+            if (data.length + line.length > MAX_EVENT_BYTES) {
+                throw OversizedBodyException("an event", MAX_EVENT_BYTES)
+            }
             when {
                 line.isEmpty() && (name.isNotEmpty() || data.isNotEmpty()) ->
                     return Event(name, data.toString())
@@ -24,6 +29,8 @@
     }
 
     private companion object {
+        /** Many times the size of an event with several tokens. */
+        const val MAX_EVENT_BYTES = 256L * 1024
         const val EVENT = "event:"
         const val DATA = "data:"
     }
--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterNode.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/ClusterNode.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
 import org.bramleytrestle.model.InstanceId
 import org.bramleytrestle.model.LoadReport
 import org.bramleytrestle.settings.Change
@@ -44,6 +45,9 @@
         reportBytesPerSecond,
         wantsReport
     )
+
+    /** Received frames that wait to be processed; peers that send more of them have to wait. */
+    private val unprocessed = Semaphore(MAX_UNPROCESSED_FRAMES)
     private val mutableMembers = MutableStateFlow(core.members())
     private var jobs = emptyList<Job>()
     private val nextQuestion = AtomicInteger()
@@ -52,7 +56,16 @@
     override val members: StateFlow<Map<InstanceId, Member>> = mutableMembers.asStateFlow()
 
     override suspend fun start() {
-        transport.start { from, frame -> input { it.receive(from, frame, now()) } }
+        transport.start { from, frame ->
+            unprocessed.acquire()
+            input {
+                try {
+                    it.receive(from, frame, now())
+                } finally {
+                    unprocessed.release()
+                }
+            }
+        }
         jobs = listOf(
             scope.launch {
                 for (action in inputs) {
@@ -143,5 +156,8 @@
         private val log = KotlinLogging.logger {}
 
         const val TICKS_PER_HEARTBEAT = 5
+
+        /** A frame has up to 1 MB; usual ones are far smaller and processed at once. */
+        const val MAX_UNPROCESSED_FRAMES = 32
     }
 }
--- a/cluster/src/main/kotlin/org/bramleytrestle/cluster/TcpTransport.kt
+++ b/cluster/src/main/kotlin/org/bramleytrestle/cluster/TcpTransport.kt
@@ -43,12 +43,12 @@
     @Volatile
     private var stopping = false
     private lateinit var server: ServerSocket
-    private lateinit var receive: (String, ByteArray) -> Unit
+    private lateinit var receive: suspend (String, ByteArray) -> Unit
 
     /** Number of connections that are open or being opened. */
     val connectionCount: Int get() = connections.size
 
-    override suspend fun start(receive: (from: String, frame: ByteArray) -> Unit) {
+    override suspend fun start(receive: suspend (from: String, frame: ByteArray) -> Unit) {
         this.receive = receive
         val (host, port) = hostAndPort(settings.listenAddress)
         server = aSocket(selector).tcp().bind(host, port) { reuseAddress = true }
@@ -165,7 +165,7 @@
         }
     }
 
-    private fun onFrame(connection: TcpConnection, frame: ByteArray) {
+    private suspend fun onFrame(connection: TcpConnection, frame: ByteArray) {
         when {
             frame.contentEquals(TcpConnection.KEEPALIVE_REQUEST) ->
                 connection.queue.offer(TcpConnection.KEEPALIVE_RESPONSE, Delivery.REPLACEABLE)
--- a/ctl/src/main/kotlin/org/bramleytrestle/ctl/NodeApi.kt
+++ b/ctl/src/main/kotlin/org/bramleytrestle/ctl/NodeApi.kt
@@ -19,6 +19,7 @@
 import org.bramleytrestle.settings.Change
 import org.bramleytrestle.http.SoundAnswerInterceptor
 import org.bramleytrestle.http.SoundSocketFactory
+import org.bramleytrestle.http.boundedText
 import org.bramleytrestle.settings.EffectiveValue
 import org.bramleytrestle.settings.SettingsDifference
 
@@ -86,7 +87,7 @@
         if (body != null) request.post(body.toString().toRequestBody(jsonType))
         return try {
             client.newCall(request.build()).execute().use { response ->
-                val text = response.body.string()
+                val text = response.boundedText(MAX_BODY_BYTES)
                 if (response.isSuccessful) text else throw commandFailure(response.code, text)
             }
         } catch (e: IOException) {
@@ -112,6 +113,9 @@
     private companion object {
         const val CALL_TIMEOUT_SECONDS = 15L
         const val STATUS_CONFLICT = 409
+
+        /** Several times the settings of the largest deployment. */
+        const val MAX_BODY_BYTES = 32L * 1024 * 1024
         const val STATUS_UNPROCESSABLE_CONTENT = 422
         val jsonType = "application/json".toMediaType()
     }
--- /dev/null
+++ b/http/src/main/kotlin/org/bramleytrestle/http/OversizedBodyException.kt
@@ -0,0 +1,5 @@
+package org.bramleytrestle.http
+
+/** A peer sent more bytes than an answer to the request can have. */
+public class OversizedBodyException(what: String, maxBytes: Long) :
+    UnsoundAnswerException("$what: got over $maxBytes bytes")
--- a/store/src/main/kotlin/org/bramleytrestle/store/HttpObjectStore.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/HttpObjectStore.kt
@@ -10,6 +10,7 @@
 import okhttp3.HttpUrl
 import okhttp3.HttpUrl.Companion.toHttpUrl
 import okhttp3.Request
+import org.bramleytrestle.http.boundedLine
 
 /** Client of the platform's object API over HTTP, as described in section 5 of the design. */
 public class HttpObjectStore(
@@ -91,7 +92,7 @@
         val source = response.source
         val events = mutableListOf<WatchEvent>()
         while (events.isEmpty() || source.buffer.indexOf('\n'.code.toByte()) >= 0) {
-            val line = source.readUtf8Line() ?: break
+            val line = source.boundedLine(MAX_EVENT_BYTES) ?: break
             if (line.isBlank()) continue
             val event = wireFormat.decodeFromString<WireEvent>(line)
             events += WatchEvent(event.item.toStored(kind), event.type == "DELETED")
@@ -133,5 +134,8 @@
             explicitNulls = false
         }
         const val CONFLICT = 409
+
+        /** An object of the largest size, and its metadata. */
+        const val MAX_EVENT_BYTES = 2L * 1024 * 1024
     }
 }
--- a/store/src/main/kotlin/org/bramleytrestle/store/StoreHttpClient.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/StoreHttpClient.kt
@@ -25,6 +25,7 @@
 import okhttp3.RequestBody
 import okhttp3.Response
 import okio.BufferedSink
+import org.bramleytrestle.http.OversizedBodyException
 import org.bramleytrestle.http.SoundAnswerInterceptor
 import org.bramleytrestle.http.SoundSocketFactory
 
@@ -102,12 +103,21 @@
                 val result = try {
                     response.use { body ->
                         val storeResponse = StoreResponse(request, body)
-                        val result = outcome(storeResponse)
+                        val result = try {
+                            outcome(storeResponse)
+                        } catch (cause: OversizedBodyException) {
+                            call.cancel()
+                            throw cause
+                        }
                         // When a body is closed before its end, as that of a watch may be, OkHttp
                         // tries for up to 100 ms to drain it. Cancelling the call avoids the wait.
                         if (watchTime != null && !storeResponse.exhausted) call.cancel()
                         result
                     }
+                } catch (cause: OversizedBodyException) {
+                    log.warn { "store: ${request.method} ${request.url}: $cause" }
+                    // What has changed since can be read page by page instead.
+                    if (watchTime == null) failure(request, cause) else Err(StoreError.EXPIRED)
                 } catch (cause: IOException) {
                     failure(request, cause)
                 } catch (cause: SerializationException) {
--- a/store/src/main/kotlin/org/bramleytrestle/store/StoreResponse.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/StoreResponse.kt
@@ -6,6 +6,7 @@
 import okhttp3.Request
 import okhttp3.Response
 import okio.BufferedSource
+import org.bramleytrestle.http.boundedText
 
 /** HTTP response of a store, not decoded yet. */
 public class StoreResponse internal constructor(
@@ -23,7 +24,8 @@
     internal var exhausted = false
         private set
 
-    public fun text(): String = response.body.string().also { exhausted = true }
+    /** The body, of at most [MAX_BODY_BYTES]. */
+    public fun text(): String = response.boundedText(MAX_BODY_BYTES).also { exhausted = true }
 
     /** Maps the statuses that all stores share to an error; 409 maps to [onConflict]. */
     public fun <T> error(onConflict: StoreError): Result<T, StoreError> {
@@ -44,6 +46,9 @@
         val log = KotlinLogging.logger {}
         val SERVER_ERRORS = 500..599
         const val SERVICE_UNAVAILABLE = 503
+
+        /** Several pages or objects of the largest size. */
+        const val MAX_BODY_BYTES = 8L * 1024 * 1024
         const val NOT_FOUND = 404
         const val CONFLICT = 409
         const val GONE = 410
