--- a/backend/src/main/kotlin/org/bramleytrestle/backend/EngineForwardedChainRunner.kt
+++ b/backend/src/main/kotlin/org/bramleytrestle/backend/EngineForwardedChainRunner.kt
@@ -96,7 +96,13 @@
 
         private fun readEvents(response: Response) {
             if (!response.isSuccessful) {
-                fail(first, failureFromResponse(response.code, response.boundedText(EngineCalls.MAX_BODY_BYTES)))
+                fail(
+                    first,
+                    failureFromResponse(
+                        response.code,
+                        response.boundedText(EngineCalls.MAX_BODY_BYTES)
+                    )
+                )
                 return
             }
             val events = SseReader(response.body.source())
--- a/ctl/src/main/kotlin/org/bramleytrestle/ctl/NodeApi.kt
+++ b/ctl/src/main/kotlin/org/bramleytrestle/ctl/NodeApi.kt
@@ -16,10 +16,10 @@
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
-import org.bramleytrestle.settings.Change
 import org.bramleytrestle.http.SoundAnswerInterceptor
 import org.bramleytrestle.http.SoundSocketFactory
 import org.bramleytrestle.http.boundedText
+import org.bramleytrestle.settings.Change
 import org.bramleytrestle.settings.EffectiveValue
 import org.bramleytrestle.settings.SettingsDifference
 
--- a/http/src/main/kotlin/org/bramleytrestle/http/AnswerBytes.kt
+++ b/http/src/main/kotlin/org/bramleytrestle/http/AnswerBytes.kt
@@ -10,7 +10,19 @@
  * [MAX_HEAD_BYTES] together; bodies pass through and are not kept.
  */
 internal class AnswerBytes {
-    private enum class State { IDLE, HEAD, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, TO_CLOSE, DONE }
+    private enum class State {
+        IDLE,
+        HEAD,
+        BODY,
+        CHUNK_SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILER,
+
+        /** In a body that the end of the connection ends. */
+        TO_CLOSE,
+        DONE
+    }
 
     private var state = State.IDLE
     private var method = ""
@@ -146,6 +158,7 @@
         private const val MAX_QUOTED = 80
 
         /** An extension may follow the size; chunks of 2^60 bytes and more are not sound. */
-        private val CHUNK_SIZE = Regex("([0-9a-fA-F]{1,15})(?:[ \\t]*;[\\t\\x20-\\x7e\\x80-\\xff]+)?")
+        private val CHUNK_SIZE =
+            Regex("([0-9a-fA-F]{1,15})(?:[ \\t]*;[\\t\\x20-\\x7e\\x80-\\xff]+)?")
     }
 }
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AttemptTracker.kt
@@ -42,6 +42,7 @@
 
     /** A server error response, returned to the caller if no other attempt succeeds. */
     private var serverError: ServerReply.Complete? = null
+
     @Volatile
     var lastReason = "no server is ready"
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/RequestQuarantine.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/RequestQuarantine.kt
@@ -147,8 +147,7 @@
         schedule(wait) { record(broken, server) }
     }
 
-    private fun isCleared(broken: Break) =
-        requestExtents.isBeyond(broken.content.id, broken.extent)
+    private fun isCleared(broken: Break) = requestExtents.isBeyond(broken.content.id, broken.extent)
 
     private fun isAnswered(evidence: CrashEvidence) =
         requestExtents.isBeyond(evidence.request, evidence.extent)
