Start no hedge for a request that has ended

By reading the diff: the watchdog may look at a request while its thread ends it, and would have started a second attempt that nobody ends. A hedge that was given up before it was sent counted as a failed connection of its server, and one that broke between head and first event as one that may have waited.

StreamExecutorTest has a case for a hedge that gets its thread after the end.

--- a/serving/src/main/kotlin/org/bramleytrestle/serving/Hedge.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/Hedge.kt
@@ -17,6 +17,11 @@
     var stream: ServerReply.Stream? = null
         private set
 
+    /** Whether the head of an answer has arrived. */
+    @Volatile
+    var hasHead = false
+        private set
+
     val isEnded: Boolean @Synchronized get() = state == State.ENDED
 
     /**
@@ -80,6 +85,7 @@
 
     private fun withFirstEvent(reply: ServerReply): ServerReply {
         if (reply !is ServerReply.Stream) return reply
+        hasHead = true
         val first = try {
             reply.next()
         } catch (e: IOException) {
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -58,10 +58,19 @@
         /** The last attempt beside a stalled one; guarded by this. */
         var hedge: Hedge? = null
 
+        /** Whether the request has ended, so that no hedge may start; guarded by this. */
+        var ended = false
+
         /** The hedge that has begun or may begin; the caller has no event after its start. */
         @Synchronized
         fun takeHedge(): Hedge? = hedge?.takeUnless { it.isEnded }.also { hedge = null }
 
+        @Synchronized
+        fun end() {
+            ended = true
+            takeHedge()?.abandon()
+        }
+
         /**
          * Decides on [event], or on the end of the stream, and gives the hedge up unless its stream
          * has begun and goes on from here. Throws if events were skipped.
@@ -112,7 +121,7 @@
             if (progress.begun && e !is CallerReply.CallerDisconnectedException) task.reply.abort()
             throw e
         } finally {
-            progress.takeHedge()?.abandon()
+            progress.end()
             watchdog.unwatch(active)
         }
     }
@@ -157,7 +166,7 @@
         progress: Progress,
         active: ActiveRequest
     ): Unit = synchronized(progress) {
-        if (progress.hedge?.isEnded == false) return
+        if (progress.ended || progress.hedge?.isEnded == false) return
         val other = chainElsewhere(task, chain, progress) ?: return
         if (!progress.attempts.acquireHedge(retryReserve(progress))) return
         if (!selector.takeFirst(other)) return
@@ -188,6 +197,10 @@
         dropped: Boolean,
         progress: Progress
     ) {
+        if (dropped && reply is ServerReply.NotRun && !reply.reached) {
+            task.trace.hedge(hedge.chain.label, "dropped before it was sent")
+            return
+        }
         progress.attempts.record(hedge.chain.first, reply)
         when (reply) {
             is ServerReply.Stream -> task.trace.hedge(hedge.chain.label, "begun")
@@ -201,7 +214,7 @@
                 task.trace.hedge(hedge.chain.label, if (dropped) "dropped" else reply.reason)
                 if (dropped) return
                 selector.chainFailed(hedge.chain)
-                quarantine.onBroken(task.request.content, hedge.chain.first, begun = false)
+                quarantine.onBroken(task.request.content, hedge.chain.first, hedge.hasHead)
             }
         }
     }
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -276,7 +276,8 @@
         val slack: Int = 10,
         val otherLoad: Int = 0,
         val centres: List<String> = listOf("a", "b"),
-        val hasThread: Boolean = true
+        val hasThread: Boolean = true,
+        val startsLater: Boolean = false
     )
 
     private fun runPaused(case: PauseCase): Pair<PausingClient, List<String>> {
@@ -295,6 +296,7 @@
         }
         val stalls = StallInspector(selector, { null }, { _, task -> task() }, clock::now)
         val reply = RecordedReply()
+        val later = mutableListOf<() -> Unit>()
         val executor = StreamExecutor(
             selector,
             client,
@@ -304,7 +306,10 @@
             emptyQuarantine(),
             clock::now,
             await = { _, span -> clock.advance(span) },
-            startHedge = { task -> case.hasThread.also { if (it) task() } }
+            startHedge = { task ->
+                if (case.startsLater) later += task else if (case.hasThread) task()
+                case.hasThread
+            }
         )
         executor.run(
             RequestTask(
@@ -317,6 +322,7 @@
                 RequestTrace("r1", 1, null)
             )
         )
+        later.forEach { it() }
         return client to reply.got
     }
 
@@ -355,6 +361,7 @@
             PauseCase("the retry budget is empty", whole, asked = 0, slack = 0),
             PauseCase("the other chain is full", whole, asked = 0, otherLoad = 200),
             PauseCase("there is no other chain", whole, asked = 0, centres = listOf("a")),
+            PauseCase("begins elsewhere after the end", whole, startsLater = true),
             PauseCase("no thread is free", whole, hasThread = false, asked = 3)
         )
         for (case in cases) {
