--- a/serving/src/main/kotlin/org/bramleytrestle/serving/AnswerExtent.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/AnswerExtent.kt
@@ -9,9 +9,9 @@
  */
 internal data class AnswerExtent(val events: Int, val ran: Duration) {
     /**
-     * Whether an answer that got this far says that what it has in common with one that ended its
-     * server at [crash] does not end servers. What does may act after some events or after some
-     * time, not always at the same moment.
+     * Whether an answer that got this far clears what it shares with an answer whose server ended
+     * at [crash]. A part that ends servers acts after some events or after some time, though not
+     * always at the same moment; so both have to be exceeded clearly.
      */
     fun isBeyond(crash: AnswerExtent): Boolean =
         events >= crash.events * MARGIN + BEGINNING_EVENTS && ran >= crash.ran * MARGIN
@@ -19,6 +19,8 @@
     companion object {
         /** Events after which an answer is past its beginning. */
         const val BEGINNING_EVENTS = 3
+
+        /** How many times as far as the other one an answer has to get. */
         const val MARGIN = 2
         private const val EVENTS_PER_STEP = 8
 
--- a/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
+++ b/serving/src/main/kotlin/org/bramleytrestle/serving/StreamExecutor.kt
@@ -61,10 +61,11 @@
         /** Whether the request has ended, so that no hedge may start; guarded by this. */
         var ended = false
 
-        /** The hedge that has begun or may begin; the caller has no event after its start. */
+        /** The hedge that has begun or may still begin, if any; it is no longer kept here. */
         @Synchronized
         fun takeHedge(): Hedge? = hedge?.takeUnless { it.isEnded }.also { hedge = null }
 
+        /** Gives the hedge up and lets no other one start. */
         @Synchronized
         fun end() {
             ended = true
--- a/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
+++ b/serving/src/test/kotlin/org/bramleytrestle/serving/StreamExecutorTest.kt
@@ -307,7 +307,11 @@
             clock::now,
             await = { _, span -> clock.advance(span) },
             startHedge = { task ->
-                if (case.startsLater) later += task else if (case.hasThread) task()
+                if (case.startsLater) {
+                    later += task
+                } else if (case.hasThread) {
+                    task()
+                }
                 case.hasThread
             }
         )
