End a call to the store whatever fails while its answer is read

Callers would see settings and servers that age for good: a watcher waits for a call that never ends.

A loop guarded against failures is of no use while it waits for a call.

Change: any exception or error gives the caller a result and a log line.

--- a/store/src/main/kotlin/org/bramleytrestle/store/StoreHttpClient.kt
+++ b/store/src/main/kotlin/org/bramleytrestle/store/StoreHttpClient.kt
@@ -11,7 +11,6 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
 import kotlinx.coroutines.suspendCancellableCoroutine
-import kotlinx.serialization.SerializationException
 import okhttp3.Call
 import okhttp3.Callback
 import okhttp3.ConnectionPool
@@ -120,14 +119,12 @@
                     if (watchTime == null) failure(request, cause) else Err(StoreError.EXPIRED)
                 } catch (cause: IOException) {
                     failure(request, cause)
-                } catch (cause: SerializationException) {
-                    failure(request, cause)
                 } catch (cause: IllegalArgumentException) {
                     failure(request, cause)
-                } catch (cause: StackOverflowError) {
+                } catch (cause: Throwable) {
                     // Without a result the caller would wait forever.
-                    log.error { "store: ${request.method} ${request.url}: body nested too deeply" }
-                    failure(request, IOException("body nested too deeply", cause))
+                    log.error { "store: ${request.method} ${request.url}: answer not read: $cause" }
+                    failure(request, IOException("answer not read", cause))
                 }
                 continuation.resume(result)
             }
